Set down the folders, the core types, the kernel and the policy

Cause: an empty repository; the users ask that the first commits set the shape down (micro-kernel, tasks, std::chrono, std::variant, hand-written fakes) before anything grows on it. Change: core types, the closed error list with its table, the kernel, JSON with comments with faults that name path, line and range, policy documents, deltas and operators' changes. Conclusion: decisions can be written on these types without Asio or cereal.

--- /dev/null
+++ b/include/ibiswell/core/messages.h
@@ -0,0 +1,231 @@
+#pragma once
+
+#include "ibiswell/core/error.h"
+#include "ibiswell/core/member.h"
+#include "ibiswell/core/request.h"
+#include "ibiswell/policy/policy_document.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/**
+ * Typed messages between nodes. They carry no encoding: src/wire/ holds the codec, and the
+ * decision code neither knows nor includes it.
+ */
+namespace ibiswell {
+
+/** One HTTP header field. */
+struct HeaderField
+{
+    std::string name;
+    std::string value;
+
+    bool operator==(const HeaderField &) const = default;
+};
+
+/** A request as a caller or a node sends it to a backend server. */
+struct HttpRequest
+{
+    std::string method;
+    std::string path; ///< Below the service's name, with the query.
+    std::vector<HeaderField> headers;
+    std::string body;
+
+    /** Value of the first field of that name (case is ignored), or an empty text. */
+    std::string_view header(std::string_view name) const;
+    void removeHeader(std::string_view name);
+};
+
+/** A backend server's whole answer. */
+struct HttpAnswer
+{
+    int status = 200;
+    std::vector<HeaderField> headers;
+    std::string body;
+
+    bool operator==(const HttpAnswer &) const = default;
+};
+
+/** Why a call has no whole answer. */
+struct Refusal
+{
+    ErrorKind kind = ErrorKind::BadRequest;
+    std::string detail;
+    /**
+     * Not always answerFor(kind).execution: a refusal below a call that ran is no longer "not
+     * run" for the caller above.
+     */
+    Execution execution = Execution::NotRun;
+};
+
+/** How a call ended. */
+using CallResult = std::variant<HttpAnswer, Refusal>;
+
+// Over TCP, one call at a time on a connection.
+
+/** Asks the node of a target to run a request at its backend server. */
+struct CallMessage
+{
+    std::uint64_t callId = 0;
+    std::string service;
+    std::string route;
+    CallContext context;
+    HttpRequest request;
+};
+
+/** The end of a call. */
+struct AnswerMessage
+{
+    std::uint64_t callId = 0; ///< Of the call that it answers.
+    CallResult result;
+    LoadReport load;
+    std::uint8_t retriesLeft = 0; ///< What the call did not use of the retries it was given.
+};
+
+/** Sent at a steady pace while a call runs, so that a silent connection differs from slow work. */
+struct WorkingMessage
+{
+    std::uint64_t callId = 0;
+};
+
+/** Asks for the members known to a node, when a new node joins. */
+struct RosterRequest
+{
+};
+
+struct RosterAnswer
+{
+    std::vector<Member> members;
+};
+
+/** Asks for what has changed in the policy since a version. */
+struct PolicyPull
+{
+    std::uint64_t haveVersion = 0;
+};
+
+/** The whole policy, or the deltas that lead to it; empty when there is nothing newer. */
+struct PolicyAnswer
+{
+    std::variant<std::monostate, std::vector<PolicyDelta>, PolicyDocument> news;
+};
+
+/** Asks the owner of an idempotency key for the right to run its request. */
+struct KeyClaim
+{
+    std::string team;
+    std::string key;
+    bool firstAttempt = false; ///< The caller states that it never sent this key before.
+};
+
+/** The right to run the request once. */
+struct KeyGranted
+{
+};
+
+/** The request ran before, with this answer. */
+struct KeyDone
+{
+    HttpAnswer answer;
+};
+
+/** Answer to a KeyClaim. */
+struct KeyClaimAnswer
+{
+    std::variant<KeyGranted, KeyDone, Refusal> verdict;
+};
+
+/** How a request ended that ran under a granted key. */
+struct KeySettled
+{
+    std::string team;
+    std::string key;
+    CallResult result;
+};
+
+struct KeySettledAnswer
+{
+};
+
+using PeerMessage
+    = std::variant<CallMessage, AnswerMessage, WorkingMessage, RosterRequest, RosterAnswer,
+                   PolicyPull, PolicyAnswer, KeyClaim, KeyClaimAnswer, KeySettled, KeySettledAnswer>;
+
+// Over UDP.
+
+/** Asks a member whether it lives. */
+struct Probe
+{
+    std::uint64_t sequence = 0;
+};
+
+struct ProbeAck
+{
+    std::uint64_t sequence = 0;
+};
+
+/** Asks a third member to probe one that did not answer. */
+struct ProbeRequest
+{
+    std::uint64_t sequence = 0;
+    std::string node;
+    Endpoint endpoint;
+};
+
+/** Tells that a newer policy exists; the version itself is in the datagram's frame. */
+struct PolicyNews
+{
+};
+
+/** Tells changes of members at once, outside of a probe. */
+struct MemberNews
+{
+};
+
+/** Amount of tokens for one team. */
+struct TokenAmount
+{
+    std::string team;
+    double tokens = 0;
+};
+
+/** Asks the holder of a rate share for tokens. */
+struct TokenAsk
+{
+    std::uint64_t sequence = 0;
+    std::uint32_t share = 0;
+    std::vector<TokenAmount> wanted;
+};
+
+/** Tokens that the holder has taken out of its bucket; a lost grant loses them for good. */
+struct TokenGrant
+{
+    std::uint64_t sequence = 0;
+    std::uint32_t share = 0;
+    std::vector<TokenAmount> granted;
+    Duration validFor {}; ///< From when the ask was sent, by the asker's clock.
+};
+
+using GossipBody = std::variant<Probe, ProbeAck, ProbeRequest, PolicyNews, MemberNews, TokenAsk,
+                                TokenGrant>;
+
+/** One datagram between nodes. */
+struct Datagram
+{
+    std::string sender; ///< Node name.
+    Endpoint senderEndpoint;
+    std::uint64_t policyVersion = 0;
+    std::vector<Member> updates; ///< News of members, a few with each datagram.
+    GossipBody body;
+};
+
+/** A datagram to be sent: an effect of a decision. */
+struct SendDatagram
+{
+    Endpoint to;
+    Datagram datagram;
+};
+
+} // namespace ibiswell
--- /dev/null
+++ b/include/ibiswell/policy/stored_policy.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "ibiswell/policy/policy_document.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ibiswell {
+
+/** Name of the platform object that holds the policy. */
+inline constexpr std::string_view policyObjectName = "policy";
+
+/** Name of the platform object that holds the first contacts for joining nodes. */
+inline constexpr std::string_view contactsObjectName = "contacts";
+
+/**
+ * The policy as the platform stores it, with the ids of the latest changes: a writer whose answer
+ * was lost finds its id there, also when others wrote after it.
+ */
+struct StoredPolicy
+{
+    static constexpr std::size_t changesKept = 64;
+
+    PolicyDocument document;
+    std::vector<std::string> changes; ///< The newest last.
+
+    bool hasChange(std::string_view id) const;
+    void addChange(std::string id);
+};
+
+std::string writeStoredPolicy(const StoredPolicy &stored);
+std::optional<StoredPolicy> parseStoredPolicy(std::string_view text, std::uint64_t version,
+                                              Error &error);
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/policy/policy_document.cpp
@@ -0,0 +1,286 @@
+#include "ibiswell/policy/policy_document.h"
+
+#include "ibiswell/policy/object_reader.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+namespace ibiswell {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::array<std::string_view, 6> sections {"defaults", "routes", "teams",
+                                                    "keys", "zones_out", "exceptions"};
+constexpr NumberRange deadlineRange {1, 600'000}; // milliseconds
+constexpr NumberRange rateRange {0, 10'000'000}; // requests a second
+constexpr NumberRange weightRange {0.01, 1000};
+constexpr std::size_t keyHashLength = 64;
+
+std::string_view view(json::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+/** Reads the sections of a document into a Policy. */
+class PolicyCompiler
+{
+public:
+    explicit PolicyCompiler(const PolicyDocument &document)
+        : m_document(document)
+    {
+        m_policy.version = document.version;
+    }
+
+    std::optional<Policy> compile(Error &error)
+    {
+        readDefaults();
+        forEachIn("teams", &PolicyCompiler::readTeam);
+        forEachIn("routes", &PolicyCompiler::readRoute);
+        forEachIn("keys", &PolicyCompiler::readKey);
+        forEachIn("zones_out", &PolicyCompiler::readZoneOut);
+        forEachIn("exceptions", &PolicyCompiler::readException);
+        if (!m_faults.isEmpty()) {
+            error = {ErrorKind::InvalidPolicy, m_faults.text()};
+            return std::nullopt;
+        }
+        std::stable_sort(m_policy.routes.begin(), m_policy.routes.end(), longerPrefix);
+        return std::move(m_policy);
+    }
+
+private:
+    using ReadEntry = void (PolicyCompiler::*)(const std::string &name, const json::value &value,
+                                               const std::string &path);
+
+    static bool longerPrefix(const RoutePolicy &a, const RoutePolicy &b)
+    {
+        return a.pathPrefix.size() > b.pathPrefix.size();
+    }
+
+    void forEachIn(std::string_view section, ReadEntry read)
+    {
+        std::string prefix = fmt::format("{}/", section);
+        for (auto it = m_document.entries.lower_bound(prefix);
+             it != m_document.entries.end() && it->first.starts_with(prefix); ++it) {
+            std::string name = it->first.substr(prefix.size());
+            std::string path = fmt::format("{}.{}", section, name);
+            Error error;
+            auto value = parseJson(it->second, ErrorKind::InvalidPolicy, error);
+            if (!value)
+                m_faults.add(path, error.detail);
+            else
+                (this->*read)(name, *value, path);
+        }
+    }
+
+    void readDefaults()
+    {
+        json::object object;
+        FleetDefaults &defaults = m_policy.defaults;
+        constexpr std::string_view prefix = "defaults/";
+        for (auto it = m_document.entries.lower_bound(prefix);
+             it != m_document.entries.end() && it->first.starts_with(prefix); ++it) {
+            Error error;
+            auto value = parseJson(it->second, ErrorKind::InvalidPolicy, error);
+            if (value)
+                object[it->first.substr(prefix.size())] = *value;
+        }
+        json::value all = object;
+        ObjectReader reader(all, "defaults", m_faults);
+        reader.milliseconds("deadline_ms", deadlineRange, defaults.deadline);
+        reader.milliseconds("longest_deadline_ms", deadlineRange, defaults.longestDeadline);
+        reader.integer("retries_per_call_tree", {0, 16}, defaults.retriesPerCallTree);
+        reader.integer("maximum_depth", {1, 32}, defaults.maximumDepth);
+        reader.integer("rate_shares", {1, 4096}, defaults.rateShares);
+        reader.integer("key_ranges", {1, 4096}, defaults.keyRanges);
+        readTeamFields(reader, defaults.team);
+        reader.finish();
+    }
+
+    void readTeamFields(ObjectReader &reader, TeamPolicy &team)
+    {
+        reader.number("rate_per_s", rateRange, team.ratePerSecond);
+        reader.number("burst", rateRange, team.burst);
+        reader.number("weight", weightRange, team.weight);
+    }
+
+    void readTeam(const std::string &name, const json::value &value, const std::string &path)
+    {
+        TeamPolicy team = m_policy.defaults.team;
+        ObjectReader reader(value, path, m_faults);
+        readTeamFields(reader, team);
+        reader.finish();
+        m_policy.teams[name] = team;
+    }
+
+    void readRouteFields(ObjectReader &reader, RoutePolicy &route)
+    {
+        std::string priority {toString(route.priority)};
+        reader.choice("priority", {"critical", "important", "normal", "bulk"}, priority);
+        route.priority = priorityFromString(priority).value_or(PriorityClass::Normal);
+        reader.boolean("idempotent", route.idempotent);
+        reader.boolean("open", route.open);
+        reader.milliseconds("deadline_ms", deadlineRange, route.deadline);
+    }
+
+    void readRoute(const std::string &name, const json::value &value, const std::string &path)
+    {
+        RoutePolicy route;
+        route.name = name;
+        route.method = "*";
+        route.deadline = m_policy.defaults.deadline;
+        ObjectReader reader(value, path, m_faults);
+        reader.requiredText("service", route.service);
+        reader.text("method", route.method);
+        reader.requiredText("path", route.pathPrefix);
+        if (!route.pathPrefix.starts_with('/'))
+            m_faults.add(reader.pathOf("path"), "must start with \"/\"");
+        readRouteFields(reader, route);
+        reader.finish();
+        m_policy.routes.push_back(std::move(route));
+    }
+
+    void readKey(const std::string &hash, const json::value &value, const std::string &path)
+    {
+        std::string team;
+        ObjectReader reader(value, path, m_faults);
+        reader.requiredText("team", team);
+        reader.finish();
+        if (hash.size() != keyHashLength
+            || hash.find_first_not_of("0123456789abcdef") != std::string::npos)
+            m_faults.add(path, "the name must be the key's SHA-256, 64 lower-case hex digits");
+        if (m_policy.teams.find(team) == m_policy.teams.end())
+            m_faults.add(reader.pathOf("team"), fmt::format("team \"{}\" does not exist", team));
+        m_policy.teamByKeyHash[hash] = team;
+    }
+
+    void readZoneOut(const std::string &zone, const json::value &value, const std::string &path)
+    {
+        std::string reason;
+        ObjectReader reader(value, path, m_faults);
+        reader.requiredText("reason", reason);
+        reader.finish();
+        m_policy.zonesOut[zone] = reason;
+    }
+
+    void readException(const std::string &name, const json::value &value, const std::string &path)
+    {
+        PolicyException exception;
+        exception.name = name;
+        ObjectReader reader(value, path, m_faults);
+        reader.requiredText("reason", exception.reason);
+        reader.requiredText("applies_to", exception.appliesTo);
+        if (const json::value *set = reader.child("set"))
+            applyException(exception.appliesTo, *set, path);
+        else
+            m_faults.add(reader.pathOf("set"), "is required");
+        reader.finish();
+        m_policy.exceptions.push_back(std::move(exception));
+    }
+
+    void applyException(const std::string &appliesTo, const json::value &set,
+                        const std::string &path)
+    {
+        ObjectReader reader(set, path + ".set", m_faults);
+        std::string name = appliesTo.substr(appliesTo.find(':') + 1);
+        auto team = m_policy.teams.find(name);
+        auto route = std::find_if(m_policy.routes.begin(), m_policy.routes.end(),
+                                  [&](const RoutePolicy &r) { return r.name == name; });
+        if (appliesTo.starts_with("route:") && route != m_policy.routes.end())
+            readRouteFields(reader, *route);
+        else if (appliesTo.starts_with("team:") && team != m_policy.teams.end())
+            readTeamFields(reader, team->second);
+        else
+            m_faults.add(path + ".applies_to",
+                         "must be \"route:NAME\" or \"team:NAME\" of an existing route or team");
+        reader.finish();
+    }
+
+    const PolicyDocument &m_document;
+    Policy m_policy;
+    FaultList m_faults;
+};
+
+} // namespace
+
+std::optional<PolicyDocument> parsePolicyDocument(std::string_view text, Error &error)
+{
+    auto value = parseJson(text, ErrorKind::InvalidPolicy, error);
+    if (!value)
+        return std::nullopt;
+    FaultList faults;
+    PolicyDocument document;
+    ObjectReader reader(*value, "", faults);
+    for (std::string_view section : sections) {
+        const json::value *child = reader.child(section);
+        if (!child)
+            continue;
+        if (!child->is_object()) {
+            faults.add(std::string(section), "must be an object");
+            continue;
+        }
+        for (const auto &item : child->as_object())
+            document.entries[fmt::format("{}/{}", section, view(item.key()))]
+                = json::serialize(item.value());
+    }
+    reader.finish();
+    if (!faults.isEmpty()) {
+        error = {ErrorKind::InvalidPolicy, faults.text()};
+        return std::nullopt;
+    }
+    return document;
+}
+
+std::string writePolicyDocument(const PolicyDocument &document)
+{
+    json::object root;
+    for (const auto &[entry, text] : document.entries) {
+        std::size_t slash = entry.find('/');
+        json::value &section = root[entry.substr(0, slash)];
+        if (!section.is_object())
+            section = json::object();
+        section.as_object()[entry.substr(slash + 1)] = json::parse(text);
+    }
+    return json::serialize(root);
+}
+
+std::optional<Policy> compilePolicy(const PolicyDocument &document, Error &error)
+{
+    return PolicyCompiler(document).compile(error);
+}
+
+PolicyDelta difference(const PolicyDocument &older, const PolicyDocument &newer)
+{
+    PolicyDelta delta {older.version, newer.version, {}};
+    for (const auto &[entry, text] : newer.entries) {
+        auto found = older.entries.find(entry);
+        if (found == older.entries.end() || found->second != text)
+            delta.edits.push_back({entry, text});
+    }
+    for (const auto &[entry, text] : older.entries) {
+        if (!newer.entries.contains(entry))
+            delta.edits.push_back({entry, std::nullopt});
+    }
+    return delta;
+}
+
+bool applyDelta(PolicyDocument &document, const PolicyDelta &delta)
+{
+    if (delta.from != document.version)
+        return false;
+    for (const PolicyEdit &edit : delta.edits) {
+        if (edit.json)
+            document.entries[edit.entry] = *edit.json;
+        else
+            document.entries.erase(edit.entry);
+    }
+    document.version = delta.to;
+    return true;
+}
+
+} // namespace ibiswell
