Add the decisions: admission, routing, retries, membership, rates, keys

Cause: the policy under load and faults is what the product is worth; it must run in virtual time and under any front end. Ruled out: shedding by count at the hot service alone (wastes the work above it), a retry budget for each hop (multiplies with depth), a platform write for each heartbeat (1,900/s at 19,000 nodes), static rate shares for each node (wrongful refusals for skewed load). Change: demand shares by slot time with fractions carried back on answers, one admission draw for a call tree, a learned concurrency limit, conserved retries, SWIM membership, leases counted on the holder's own clock, tokens minted under leases, idempotency keys with one owner, a policy that only moves forward.

--- /dev/null
+++ b/include/ibiswell/decisions/target_admission.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "ibiswell/core/error.h"
+#include "ibiswell/core/request.h"
+#include "ibiswell/decisions/concurrency_limit.h"
+#include "ibiswell/decisions/demand_shares.h"
+#include "ibiswell/decisions/fair_queue.h"
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace ibiswell {
+
+/** A call that arrives at the node of its target. */
+struct Arrival
+{
+    std::string route;
+    CallContext context;
+    double weight = 1; ///< Of the team.
+};
+
+/** The call goes to the backend server now. */
+struct StartCall
+{
+    Ticket ticket;
+};
+
+/** The call waits; a later effect starts or refuses it. */
+struct QueueCall
+{
+    Ticket ticket;
+};
+
+/** The call is refused; it has not run. */
+struct RefuseCall
+{
+    Ticket ticket;
+    ErrorKind kind;
+};
+
+using AdmissionEffect = std::variant<StartCall, QueueCall, RefuseCall>;
+
+/** How a started call ended. */
+struct WorkEnd
+{
+    WorkOutcome outcome = WorkOutcome::Completed;
+    Duration slotTime {}; ///< From start to end at the backend server.
+    Duration waitedBelow {}; ///< Part of it spent waiting for calls to other services.
+    bool abandoned = false; ///< Cancelled or timed out: frees the slot, teaches nothing.
+};
+
+/**
+ * Decides at the node beside a backend server which calls run, wait or are refused.
+ *
+ * Guarantees: at most limit() calls run at once; a refused call has not run; no call is started
+ * whose time left is shorter than its route's time at an idle backend server.
+ */
+class TargetAdmission
+{
+public:
+    /** The first effect is the arriving call's own; others concern calls that it displaced. */
+    std::vector<AdmissionEffect> arrive(TimePoint now, const Arrival &arrival);
+
+    /** A started call ended; the effects start or refuse calls that waited. */
+    std::vector<AdmissionEffect> finish(TimePoint now, Ticket ticket, const WorkEnd &end);
+
+    /** A waiting call's caller went away. */
+    void abandon(Ticket ticket);
+
+    /** Refuses the waiting calls whose deadline has passed. */
+    std::vector<AdmissionEffect> tick(TimePoint now);
+
+    /** What goes back to a caller; pathFraction covers this target alone. */
+    LoadReport report(PriorityClass priority, const std::string &team) const;
+
+    int limit() const { return m_limit.limit(); }
+    int inFlight() const { return static_cast<int>(m_running.size()); }
+    std::size_t queued() const { return m_queue.size(); }
+    double worstFraction() const { return m_shares.worstFraction(); }
+    const ConcurrencyLimit &learned() const { return m_limit; }
+
+private:
+    struct Running
+    {
+        std::string route;
+        std::string team;
+        PriorityClass priority;
+        double weight;
+        int inFlightAtStart;
+        Duration charged; ///< Slot time charged to the team when the call started.
+    };
+    struct Queued
+    {
+        std::string route;
+    };
+
+    std::vector<AdmissionEffect> refuse(Ticket ticket, ErrorKind kind) const;
+    std::vector<AdmissionEffect> enqueue(const Arrival &arrival, WaitingCall call);
+    void start(const std::string &route, const WaitingCall &call);
+    void startWaiting(TimePoint now, std::vector<AdmissionEffect> &effects);
+    Duration expectedSlotTime(const std::string &route) const;
+    Duration queueDelay(PriorityClass priority) const;
+    void noteSlotTime(const std::string &route, Duration slotTime);
+
+    ConcurrencyLimit m_limit;
+    DemandShares m_shares;
+    FairQueue m_queue;
+    std::unordered_map<Ticket, Running> m_running;
+    std::unordered_map<Ticket, Queued> m_waiting;
+    std::map<std::string, double, std::less<>> m_slotSeconds; ///< By route, moving average.
+    double m_meanSlotSeconds = 0;
+    Ticket m_nextTicket = 1;
+};
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/decisions/call_table.cpp
@@ -0,0 +1,61 @@
+#include "ibiswell/decisions/call_table.h"
+
+#include "ibiswell/decisions/retry_policy.h"
+
+#include <algorithm>
+
+namespace ibiswell {
+
+void CallTable::start(TimePoint now, const std::string &token, const CallContext &context)
+{
+    RunningCall call;
+    call.context = context;
+    call.deadline = now + context.timeLeft;
+    call.ended.retriesLeft = context.retriesLeft;
+    m_calls[token] = std::move(call);
+}
+
+std::optional<CallContext> CallTable::beginBelow(TimePoint now, const std::string &token)
+{
+    auto found = m_calls.find(token);
+    if (found == m_calls.end())
+        return std::nullopt;
+    RunningCall &call = found->second;
+    ++call.ended.callsBelow;
+    if (call.below++ == 0)
+        call.belowSince = now;
+    CallContext context = call.context;
+    context.timeLeft = std::max(Duration::zero(), call.deadline - now);
+    context.depth = static_cast<std::uint8_t>(context.depth + 1);
+    context.attempt = 1;
+    context.retriesLeft = retriesForCallBelow(call.ended.retriesLeft);
+    call.ended.retriesLeft = static_cast<std::uint8_t>(call.ended.retriesLeft - context.retriesLeft);
+    return context;
+}
+
+void CallTable::endBelow(TimePoint now, const std::string &token, std::uint8_t retriesLeft,
+                         double pathFraction)
+{
+    auto found = m_calls.find(token);
+    if (found == m_calls.end())
+        return;
+    RunningCall &call = found->second;
+    if (--call.below == 0)
+        call.ended.waitedBelow += now - call.belowSince;
+    call.ended.retriesLeft = static_cast<std::uint8_t>(call.ended.retriesLeft + retriesLeft);
+    call.ended.pathFraction = std::min(call.ended.pathFraction, pathFraction);
+}
+
+CallTable::Ended CallTable::end(TimePoint now, const std::string &token)
+{
+    auto found = m_calls.find(token);
+    if (found == m_calls.end())
+        return {};
+    RunningCall call = std::move(found->second);
+    m_calls.erase(found);
+    if (call.below > 0)
+        call.ended.waitedBelow += now - call.belowSince;
+    return call.ended;
+}
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/decisions/demand_shares.cpp
@@ -0,0 +1,122 @@
+#include "ibiswell/decisions/demand_shares.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace ibiswell {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration memoryOfDemand = 400ms;
+constexpr Duration refreshInterval = 20ms;
+constexpr Duration idleTeamForgotten = 30s;
+constexpr Duration longQueue = 15ms;
+constexpr double gainStep = 0.02;
+constexpr double smallestGain = 0.4;
+constexpr double largestGain = 2.5;
+constexpr double gainRelaxation = 0.02; // towards 1, each refresh without shedding
+constexpr double idleShare = 0.95; // of the limit; below it slots lie idle
+
+} // namespace
+
+double DemandShares::rate(const Demand &demand, TimePoint now)
+{
+    double age = inSeconds(now - demand.updatedAt) / inSeconds(memoryOfDemand);
+    return demand.decayedSlotSeconds * std::exp(-age) / inSeconds(memoryOfDemand);
+}
+
+void DemandShares::onArrival(TimePoint now, const CallContext &context, double weight,
+                             Duration slotTime)
+{
+    Demand &demand = m_classes[static_cast<std::size_t>(context.priority)][context.team];
+    double age = inSeconds(now - demand.updatedAt) / inSeconds(memoryOfDemand);
+    double standsFor = 1 / std::max(context.admittedFraction, smallestFraction);
+    demand.decayedSlotSeconds
+        = demand.decayedSlotSeconds * std::exp(-age) + standsFor * inSeconds(slotTime);
+    demand.updatedAt = now;
+    demand.weight = weight;
+}
+
+void DemandShares::refresh(TimePoint now, const TargetOccupancy &occupancy)
+{
+    if (now - m_refreshedAt < refreshInterval)
+        return;
+    m_refreshedAt = now;
+    correctGain(occupancy);
+    forgetIdle(now);
+    double capacity = occupancy.limit * m_gain;
+    m_shedding = false;
+    for (Teams &teams : m_classes)
+        capacity -= allocate(teams, std::max(0.0, capacity), now);
+}
+
+/** Gives @p capacity (slots) to the teams of one class; returns what they take of it. */
+double DemandShares::allocate(Teams &teams, double capacity, TimePoint now)
+{
+    struct Claim
+    {
+        Demand *demand;
+        double slots;
+    };
+    std::vector<Claim> claims;
+    double weights = 0;
+    for (auto &[name, demand] : teams) {
+        claims.push_back({&demand, rate(demand, now)});
+        weights += demand.weight;
+    }
+    std::sort(claims.begin(), claims.end(), [](const Claim &a, const Claim &b) {
+        return a.slots / a.demand->weight < b.slots / b.demand->weight;
+    });
+    double left = capacity;
+    for (Claim &claim : claims) {
+        double due = left * claim.demand->weight / weights;
+        double given = std::min(claim.slots, due);
+        double fraction = claim.slots > 0 ? given / claim.slots : 1;
+        claim.demand->fraction = std::clamp(fraction, smallestFraction, 1.0);
+        m_shedding = m_shedding || fraction < 1;
+        left -= given;
+        weights -= claim.demand->weight;
+    }
+    return capacity - left;
+}
+
+void DemandShares::correctGain(const TargetOccupancy &occupancy)
+{
+    if (occupancy.queueDelay > longQueue)
+        m_gain *= 1 - gainStep;
+    else if (m_shedding && occupancy.inFlight < idleShare * occupancy.limit)
+        m_gain *= 1 + gainStep;
+    else if (!m_shedding)
+        m_gain += gainRelaxation * (1 - m_gain);
+    m_gain = std::clamp(m_gain, smallestGain, largestGain);
+}
+
+void DemandShares::forgetIdle(TimePoint now)
+{
+    for (Teams &teams : m_classes)
+        std::erase_if(teams, [&](const auto &item) {
+            return now - item.second.updatedAt > idleTeamForgotten;
+        });
+}
+
+double DemandShares::fraction(PriorityClass priority, const std::string &team) const
+{
+    const Teams &teams = m_classes[static_cast<std::size_t>(priority)];
+    auto found = teams.find(team);
+    return found == teams.end() ? 1 : found->second.fraction;
+}
+
+double DemandShares::worstFraction() const
+{
+    double worst = 1;
+    for (const Teams &teams : m_classes) {
+        for (const auto &[name, demand] : teams)
+            worst = std::min(worst, demand.fraction);
+    }
+    return worst;
+}
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/decisions/path_table.cpp
@@ -0,0 +1,54 @@
+#include "ibiswell/decisions/path_table.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ibiswell {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double smoothing = 0.2; // weight of one answer
+constexpr Duration silenceBeforeOpening = 300ms;
+constexpr Duration doublingTime = 100ms;
+
+} // namespace
+
+double PathTable::opened(const Entry &entry, TimePoint now)
+{
+    Duration silence = now - entry.updatedAt - silenceBeforeOpening;
+    if (silence <= Duration::zero())
+        return entry.fraction;
+    return std::min(1.0, entry.fraction * std::exp2(inSeconds(silence) / inSeconds(doublingTime)));
+}
+
+double PathTable::fraction(TimePoint now, const std::string &route, const std::string &team) const
+{
+    auto found = m_entries.find(std::pair(route, team));
+    return found == m_entries.end() ? 1 : opened(found->second, now);
+}
+
+void PathTable::onAnswer(TimePoint now, const std::string &route, const std::string &team,
+                         double pathFraction)
+{
+    auto found = m_entries.find(std::pair(route, team));
+    if (found == m_entries.end()) {
+        if (pathFraction >= 1)
+            return;
+        found = m_entries.emplace(std::pair(route, team), Entry {1, now}).first;
+    }
+    Entry &entry = found->second;
+    double current = opened(entry, now);
+    entry.fraction = current + smoothing * (pathFraction - current);
+    entry.updatedAt = now;
+}
+
+void PathTable::tick(TimePoint now)
+{
+    constexpr double fullyOpen = 0.999;
+    std::erase_if(m_entries,
+                  [&](const auto &item) { return opened(item.second, now) >= fullyOpen; });
+}
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/decisions/policy_store.cpp
@@ -0,0 +1,104 @@
+#include "ibiswell/decisions/policy_store.h"
+
+#include "ibiswell/core/hash.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace ibiswell {
+
+namespace {
+
+constexpr std::size_t deltasKept = 256;
+constexpr std::size_t watchersInZone = 2;
+
+} // namespace
+
+bool PolicyStore::adopt(PolicyDocument document)
+{
+    if (document.version <= m_policy.version) {
+        m_lastError = Error {ErrorKind::VersionConflict,
+                             fmt::format("version {} is not newer than {}", document.version,
+                                         m_policy.version)};
+        return false;
+    }
+    return replace(std::move(document));
+}
+
+bool PolicyStore::adopt(const PolicyAnswer &answer)
+{
+    if (const auto *whole = std::get_if<PolicyDocument>(&answer.news))
+        return adopt(*whole);
+    const auto *deltas = std::get_if<std::vector<PolicyDelta>>(&answer.news);
+    if (!deltas)
+        return false;
+    PolicyDocument next = m_document;
+    for (const PolicyDelta &delta : *deltas) {
+        if (delta.to > next.version && !applyDelta(next, delta)) {
+            m_lastError = Error {ErrorKind::VersionConflict, "the deltas leave a gap"};
+            return false;
+        }
+    }
+    return next.version > m_policy.version && replace(std::move(next));
+}
+
+bool PolicyStore::replace(PolicyDocument document)
+{
+    Error error;
+    std::optional<Policy> policy = compilePolicy(document, error);
+    if (!policy) {
+        m_lastError = error;
+        return false;
+    }
+    if (m_policy.version > 0) {
+        m_deltas.push_back(difference(m_document, document));
+        if (m_deltas.size() > deltasKept)
+            m_deltas.pop_front();
+    }
+    m_document = std::move(document);
+    m_policy = std::move(*policy);
+    return true;
+}
+
+PolicyAnswer PolicyStore::answerPull(std::uint64_t haveVersion) const
+{
+    if (haveVersion >= m_policy.version)
+        return {};
+    auto first = std::find_if(m_deltas.begin(), m_deltas.end(), [&](const PolicyDelta &delta) {
+        return delta.from == haveVersion;
+    });
+    if (first == m_deltas.end())
+        return {m_document};
+    return {std::vector<PolicyDelta>(first, m_deltas.end())};
+}
+
+bool isPolicyWatcher(const Member &self, const std::vector<const Member *> &present)
+{
+    auto rank = [](const Member &member) { return stableHash(member.node, stableHash("watcher")); };
+    std::uint64_t own = rank(self);
+    std::size_t higher = 0;
+    for (const Member *member : present) {
+        if (member->zone == self.zone && member->node != self.node && rank(*member) > own)
+            ++higher;
+    }
+    return higher < watchersInZone;
+}
+
+std::vector<std::uint32_t> leasesToTake(const Member &self,
+                                        const std::vector<const Member *> &present,
+                                        std::uint32_t leaseCount)
+{
+    std::vector<std::uint32_t> wanted;
+    for (std::uint32_t lease = 0; lease < leaseCount; ++lease) {
+        std::uint64_t seed = 1 + lease;
+        std::uint64_t own = stableHash(self.node, seed);
+        bool isFirst = std::none_of(present.begin(), present.end(), [&](const Member *member) {
+            return member->node != self.node && stableHash(member->node, seed) > own;
+        });
+        if (isFirst)
+            wanted.push_back(lease);
+    }
+    return wanted;
+}
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/decisions/rate_share.cpp
@@ -0,0 +1,70 @@
+#include "ibiswell/decisions/rate_share.h"
+
+#include "ibiswell/core/hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ibiswell {
+
+namespace {
+
+constexpr double smallestBurstOfShare = 8; // requests; a smaller part would strand tokens
+constexpr double clockDriftShare = 0.05; // by which the clocks of two nodes may differ in pace
+
+} // namespace
+
+std::vector<std::uint32_t> sharesOfTeam(const std::string &team, const TeamPolicy &policy,
+                                        int rateShares)
+{
+    int count = std::clamp(static_cast<int>(policy.burst / smallestBurstOfShare), 1, rateShares);
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> ranked;
+    for (int share = 0; share < rateShares; ++share)
+        ranked.emplace_back(stableHash(team, static_cast<std::uint64_t>(share)), share);
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<std::uint32_t> shares;
+    for (int i = 0; i < count; ++i)
+        shares.push_back(ranked[static_cast<std::size_t>(i)].second);
+    return shares;
+}
+
+RateShare::RateShare(TimePoint from)
+    : m_from(from)
+{
+}
+
+void RateShare::mint(TimePoint now, Bucket &bucket, double rate, double burst) const
+{
+    while (!bucket.grants.empty() && bucket.grants.front().lapsesAt <= now) {
+        bucket.granted -= bucket.grants.front().tokens;
+        bucket.grants.pop_front();
+    }
+    if (bucket.grants.empty())
+        bucket.granted = 0;
+    double minted = rate * std::max(0.0, inSeconds(now - bucket.mintedUntil));
+    bucket.mintedUntil = std::max(now, bucket.mintedUntil);
+    double room = std::max(0.0, burst - bucket.granted);
+    bucket.tokens = std::min(bucket.tokens + minted, room);
+}
+
+double RateShare::grant(TimePoint now, const std::string &team, const TeamPolicy &policy,
+                        int shareCount, double wanted)
+{
+    if (now < m_from)
+        return 0;
+    auto [it, isNew] = m_buckets.try_emplace(team);
+    Bucket &bucket = it->second;
+    if (isNew)
+        bucket.mintedUntil = m_from;
+    mint(now, bucket, policy.ratePerSecond / shareCount, policy.burst / shareCount);
+    double given = std::floor(std::min(bucket.tokens, wanted));
+    if (given <= 0)
+        return 0;
+    bucket.tokens -= given;
+    bucket.granted += given;
+    Duration kept = fromSeconds(inSeconds(grantLifetime) * (1 + clockDriftShare));
+    bucket.grants.push_back({now + kept, given});
+    return given;
+}
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/decisions/router.cpp
@@ -0,0 +1,170 @@
+#include "ibiswell/decisions/router.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace ibiswell {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int samplesPerChoice = 3;
+constexpr int drawsPerChoice = 12; // random draws before all targets are looked through
+constexpr double failureSmoothing = 0.1;
+constexpr double priceOfFailure = 10; // a target that always fails costs this many times more
+constexpr Duration firstAvoidance = 200ms; // after two silences in a row, then doubled
+constexpr int mostAvoidanceDoublings = 5;
+
+} // namespace
+
+Router::Router(std::string ownZone, Duration otherZoneLatency)
+    : m_ownZone(std::move(ownZone))
+    , m_otherZoneLatency(otherZoneLatency)
+{
+}
+
+Router::Target *Router::targetOf(const std::string &node)
+{
+    auto found = m_targets.find(node);
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
+void Router::remove(const std::string &node)
+{
+    auto found = m_targets.find(node);
+    if (found == m_targets.end())
+        return;
+    std::vector<std::string> &nodes = m_services[found->second.member.service];
+    std::erase(nodes, node);
+    m_targets.erase(found);
+}
+
+void Router::onMember(const Member &member)
+{
+    bool takesWork = member.state == MemberState::Alive || member.state == MemberState::Suspect;
+    Target *known = targetOf(member.node);
+    if (!takesWork) {
+        remove(member.node);
+        return;
+    }
+    if (known && known->member.incarnation == member.incarnation
+        && known->member.service == member.service) {
+        known->member = member;
+        return;
+    }
+    bool sameProcess = known && known->member.endpoint == member.endpoint
+        && known->member.service == member.service;
+    if (sameProcess) {
+        known->member = member;
+        return;
+    }
+    remove(member.node);
+    Target target;
+    target.member = member;
+    target.load.limit = 4;
+    target.load.serviceTime = 5ms;
+    m_targets.emplace(member.node, std::move(target));
+    m_services[member.service].push_back(member.node);
+}
+
+bool Router::isUsable(TimePoint now, const Target &target, const RouteQuery &query) const
+{
+    if (query.isZoneOut && query.isZoneOut(target.member.zone))
+        return false;
+    if (now < target.avoidUntil)
+        return false;
+    return !query.excluded
+        || std::find(query.excluded->begin(), query.excluded->end(), target.member.node)
+        == query.excluded->end();
+}
+
+double Router::price(const Target &target) const
+{
+    double limit = std::max(1u, target.load.limit);
+    double others = target.load.inFlight + target.load.queued;
+    double load = (std::max<double>(others, target.outstanding) + 1) / limit;
+    double seconds = inSeconds(target.load.serviceTime) * (1 + load * load);
+    seconds *= 1 + priceOfFailure * target.failures;
+    if (target.member.zone != m_ownZone)
+        seconds += 2 * inSeconds(m_otherZoneLatency);
+    if (target.member.state == MemberState::Suspect)
+        seconds *= 2;
+    return seconds;
+}
+
+std::optional<RouteChoice> Router::choose(TimePoint now, const RouteQuery &query, Random &random)
+{
+    auto service = m_services.find(query.service);
+    if (service == m_services.end() || service->second.empty()) {
+        m_lastError = Error {ErrorKind::NoTarget,
+                             fmt::format("no target of service \"{}\" is known", query.service)};
+        return std::nullopt;
+    }
+    const std::vector<std::string> &nodes = service->second;
+    const Target *best = nullptr;
+    int sampled = 0;
+    auto consider = [&](const Target &target) {
+        if (!isUsable(now, target, query))
+            return;
+        ++sampled;
+        if (!best || price(target) < price(*best))
+            best = &target;
+    };
+    for (int draw = 0; draw < drawsPerChoice && sampled < samplesPerChoice; ++draw)
+        consider(m_targets.at(nodes[pickIndex(random, nodes.size())]));
+    if (!best) {
+        for (const std::string &node : nodes)
+            consider(m_targets.at(node));
+    }
+    if (!best) {
+        m_lastError
+            = Error {ErrorKind::NoTarget, fmt::format("{} targets of service \"{}\" are known, "
+                                                      "none takes work",
+                                                      nodes.size(), query.service)};
+        return std::nullopt;
+    }
+    std::string_view reason = best->member.zone == m_ownZone ? "earliest answer, own zone"
+                                                              : "earliest answer, other zone";
+    return RouteChoice {best->member.node, best->member.endpoint, best->member.zone, nodes.size(),
+                        reason};
+}
+
+void Router::onSend(const std::string &node)
+{
+    if (Target *target = targetOf(node))
+        ++target->outstanding;
+}
+
+void Router::onAnswer(TimePoint, const std::string &node, const LoadReport &load, bool failed)
+{
+    Target *target = targetOf(node);
+    if (!target)
+        return;
+    target->outstanding = std::max(0, target->outstanding - 1);
+    target->load = load;
+    target->failures += failureSmoothing * ((failed ? 1 : 0) - target->failures);
+    target->silences = 0;
+    target->avoidUntil = {};
+}
+
+void Router::onSilence(TimePoint now, const std::string &node)
+{
+    Target *target = targetOf(node);
+    if (!target)
+        return;
+    target->outstanding = std::max(0, target->outstanding - 1);
+    ++target->silences;
+    if (target->silences < 2)
+        return;
+    int doublings = std::min(target->silences - 2, mostAvoidanceDoublings);
+    target->avoidUntil = now + firstAvoidance * (1 << doublings);
+}
+
+void Router::onAbandoned(const std::string &node)
+{
+    if (Target *target = targetOf(node))
+        target->outstanding = std::max(0, target->outstanding - 1);
+}
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/decisions/target_admission.cpp
@@ -0,0 +1,172 @@
+#include "ibiswell/decisions/target_admission.h"
+
+#include <algorithm>
+
+namespace ibiswell {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration slotTimeBeforeLearned = 5ms;
+constexpr Duration longestQueueDelay = 60ms;
+constexpr double queueDelayForSlotTime = 0.5; // a long job may wait this part of its own time
+constexpr double slotTimeSmoothing = 0.05;
+/** A call that holds work done elsewhere is let a little further than a new one. */
+constexpr double favourForWorkDone = 1.15;
+
+bool isAdmitted(const CallContext &context, double fraction)
+{
+    double bound = context.depth > 0 ? fraction * favourForWorkDone : fraction;
+    return context.admissionDraw < bound;
+}
+
+} // namespace
+
+std::vector<AdmissionEffect> TargetAdmission::refuse(Ticket ticket, ErrorKind kind) const
+{
+    return {RefuseCall {ticket, kind}};
+}
+
+Duration TargetAdmission::expectedSlotTime(const std::string &route) const
+{
+    auto found = m_slotSeconds.find(route);
+    if (found != m_slotSeconds.end())
+        return fromSeconds(found->second);
+    return m_meanSlotSeconds > 0 ? fromSeconds(m_meanSlotSeconds) : slotTimeBeforeLearned;
+}
+
+Duration TargetAdmission::queueDelay(PriorityClass priority) const
+{
+    double calls = static_cast<double>(m_queue.sizeAtOrAbove(priority));
+    return fromSeconds(calls * m_meanSlotSeconds / limit());
+}
+
+void TargetAdmission::noteSlotTime(const std::string &route, Duration slotTime)
+{
+    double seconds = inSeconds(slotTime);
+    auto [it, isNew] = m_slotSeconds.emplace(route, seconds);
+    if (!isNew)
+        it->second += slotTimeSmoothing * (seconds - it->second);
+    if (m_meanSlotSeconds <= 0)
+        m_meanSlotSeconds = seconds;
+    m_meanSlotSeconds += slotTimeSmoothing * (seconds - m_meanSlotSeconds);
+}
+
+std::vector<AdmissionEffect> TargetAdmission::arrive(TimePoint now, const Arrival &arrival)
+{
+    const CallContext &context = arrival.context;
+    Duration slotTime = expectedSlotTime(arrival.route);
+    Ticket ticket = m_nextTicket++;
+    m_shares.onArrival(now, context, arrival.weight, slotTime);
+    m_shares.refresh(now, {limit(), inFlight(), queueDelay(PriorityClass::Bulk)});
+    if (context.timeLeft <= m_limit.baseTime(arrival.route))
+        return refuse(ticket, ErrorKind::DeadlineTooShort);
+    if (!isAdmitted(context, m_shares.fraction(context.priority, context.team)))
+        return refuse(ticket, ErrorKind::TargetOverloaded);
+    WaitingCall call {ticket,        context.team,           context.priority, context.depth,
+                      arrival.weight, now + context.timeLeft, slotTime};
+    if (inFlight() < limit() && m_queue.size() == 0) {
+        m_queue.charge(call.priority, call.team, call.weight, slotTime);
+        start(arrival.route, call);
+        return {StartCall {ticket}};
+    }
+    return enqueue(arrival, std::move(call));
+}
+
+std::vector<AdmissionEffect> TargetAdmission::enqueue(const Arrival &arrival, WaitingCall call)
+{
+    Ticket ticket = call.ticket;
+    Duration delay = queueDelay(call.priority);
+    Duration bearable
+        = std::max(longestQueueDelay, fromSeconds(queueDelayForSlotTime * m_meanSlotSeconds));
+    if (delay + m_limit.baseTime(arrival.route) >= arrival.context.timeLeft)
+        return refuse(ticket, ErrorKind::DeadlineTooShort);
+    std::vector<AdmissionEffect> effects {QueueCall {ticket}};
+    if (queueDelay(PriorityClass::Bulk) > bearable) {
+        std::optional<WaitingCall> evicted = m_queue.evictFor(call);
+        if (!evicted)
+            return refuse(ticket, ErrorKind::QueueFull);
+        m_waiting.erase(evicted->ticket);
+        effects.push_back(RefuseCall {evicted->ticket, ErrorKind::QueueFull});
+    }
+    m_waiting[ticket] = {arrival.route};
+    m_queue.push(std::move(call));
+    return effects;
+}
+
+void TargetAdmission::start(const std::string &route, const WaitingCall &call)
+{
+    m_running.emplace(call.ticket, Running {route, call.team, call.priority, call.weight,
+                                            inFlight() + 1, call.expectedSlotTime});
+}
+
+std::vector<AdmissionEffect> TargetAdmission::finish(TimePoint now, Ticket ticket,
+                                                     const WorkEnd &end)
+{
+    std::vector<AdmissionEffect> effects;
+    auto found = m_running.find(ticket);
+    if (found == m_running.end())
+        return effects;
+    Running call = std::move(found->second);
+    m_running.erase(found);
+    m_queue.charge(call.priority, call.team, call.weight, end.slotTime - call.charged);
+    if (!end.abandoned) {
+        if (end.outcome == WorkOutcome::Completed)
+            noteSlotTime(call.route, end.slotTime);
+        m_limit.onSample({call.route, end.slotTime - end.waitedBelow, end.outcome,
+                          call.inFlightAtStart});
+    }
+    startWaiting(now, effects);
+    return effects;
+}
+
+void TargetAdmission::startWaiting(TimePoint now, std::vector<AdmissionEffect> &effects)
+{
+    while (inFlight() < limit()) {
+        std::optional<WaitingCall> call = m_queue.pop();
+        if (!call)
+            return;
+        std::string route = std::move(m_waiting[call->ticket].route);
+        m_waiting.erase(call->ticket);
+        if (now + m_limit.baseTime(route) >= call->deadline) {
+            m_queue.charge(call->priority, call->team, call->weight, -call->expectedSlotTime);
+            effects.push_back(RefuseCall {call->ticket, ErrorKind::DeadlineTooShort});
+            continue;
+        }
+        start(route, *call);
+        effects.push_back(StartCall {call->ticket});
+    }
+}
+
+void TargetAdmission::abandon(Ticket ticket)
+{
+    m_queue.remove(ticket);
+    m_waiting.erase(ticket);
+}
+
+std::vector<AdmissionEffect> TargetAdmission::tick(TimePoint now)
+{
+    std::vector<AdmissionEffect> effects;
+    for (const WaitingCall &late : m_queue.removeLate(now)) {
+        m_waiting.erase(late.ticket);
+        effects.push_back(RefuseCall {late.ticket, ErrorKind::DeadlineTooShort});
+    }
+    m_shares.refresh(now, {limit(), inFlight(), queueDelay(PriorityClass::Bulk)});
+    startWaiting(now, effects);
+    return effects;
+}
+
+LoadReport TargetAdmission::report(PriorityClass priority, const std::string &team) const
+{
+    LoadReport report;
+    report.pathFraction = m_shares.fraction(priority, team);
+    report.inFlight = static_cast<std::uint32_t>(inFlight());
+    report.queued = static_cast<std::uint32_t>(m_queue.size());
+    report.limit = static_cast<std::uint32_t>(limit());
+    report.serviceTime
+        = m_meanSlotSeconds > 0 ? fromSeconds(m_meanSlotSeconds) : slotTimeBeforeLearned;
+    return report;
+}
+
+} // namespace ibiswell
