--- /dev/null
+++ b/src/transport/asio.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "ibiswell/core/error.h"
+#include "ibiswell/core/member.h"
+#include "ibiswell/core/time.h"
+
+#include <boost/asio.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace ibiswell {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+
+template<typename T>
+using Task = asio::awaitable<T>;
+
+/** Completion token that gives the error code in place of an exception. */
+inline constexpr auto asResult = asio::as_tuple(asio::use_awaitable);
+
+/** The time that decisions are given. */
+inline TimePoint steadyNow()
+{
+    auto since = std::chrono::steady_clock::now().time_since_epoch();
+    return TimePoint(std::chrono::duration_cast<Duration>(since));
+}
+
+/** The same moment on the timers' clock. */
+inline std::chrono::steady_clock::time_point onTimerClock(TimePoint time)
+{
+    return std::chrono::steady_clock::time_point(time.time_since_epoch());
+}
+
+inline Task<void> sleepFor(Duration duration)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    co_await timer.async_wait(asResult);
+}
+
+/** Runs @p task for at most @p limit; nothing when the time ran out and the task was cancelled. */
+template<typename T>
+Task<std::optional<T>> withTimeout(Task<T> task, Duration limit)
+{
+    using namespace asio::experimental::awaitable_operators;
+    auto ended = co_await (std::move(task) || sleepFor(limit));
+    if (ended.index() == 0)
+        co_return std::optional<T>(std::move(std::get<0>(ended)));
+    co_return std::nullopt;
+}
+
+/** Ends when the peer closes the connection; bytes that arrive are left alone. */
+inline Task<void> untilClosed(tcp::socket &socket)
+{
+    auto [ec] = co_await socket.async_wait(tcp::socket::wait_read, asResult);
+    boost::system::error_code ignored;
+    bool closed = ec || socket.available(ignored) == 0;
+    if (closed)
+        co_return;
+    asio::steady_timer forever(co_await asio::this_coro::executor,
+                               std::chrono::steady_clock::time_point::max());
+    co_await forever.async_wait(asResult);
+}
+
+/** Whether an idle connection was closed by its peer or holds bytes that nobody asked for. */
+inline bool isSpoiled(tcp::socket &socket)
+{
+    boost::system::error_code ec;
+    socket.non_blocking(true, ec);
+    char byte = 0;
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    return ec != asio::error::would_block;
+}
+
+/** The endpoint for an IP number; nothing when the text is not one. */
+inline std::optional<tcp::endpoint> toTcp(const Endpoint &endpoint)
+{
+    boost::system::error_code ec;
+    auto address = asio::ip::make_address(endpoint.address, ec);
+    if (ec)
+        return std::nullopt;
+    return tcp::endpoint(address, endpoint.port);
+}
+
+/** Connects within @p limit; nothing on failure. */
+inline Task<std::optional<tcp::socket>> connectTo(Endpoint endpoint, Duration limit)
+{
+    std::optional<tcp::endpoint> target = toTcp(endpoint);
+    if (!target)
+        co_return std::nullopt;
+    tcp::socket socket(co_await asio::this_coro::executor);
+    using namespace asio::experimental::awaitable_operators;
+    auto ended = co_await (socket.async_connect(*target, asResult) || sleepFor(limit));
+    if (ended.index() != 0 || std::get<0>(std::get<0>(ended)))
+        co_return std::nullopt;
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    co_return std::optional<tcp::socket>(std::move(socket));
+}
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/transport/decision_log.cpp
@@ -0,0 +1,37 @@
+#include "ibiswell/transport/decision_log.h"
+
+#include <fmt/format.h>
+
+namespace ibiswell {
+
+DecisionLog::DecisionLog(Kernel &kernel)
+    : m_log(kernel.get<Log>("log"))
+{
+}
+
+void DecisionLog::note(const std::string &requestId, std::string_view event,
+                       std::vector<LogField> fields)
+{
+    fields.insert(fields.begin(), {"request", requestId});
+    m_log.decision(event, fields);
+    std::string line {event};
+    for (const LogField &field : fields)
+        line += fmt::format(" {}={}", field.name, field.value);
+    auto [it, isNew] = m_lines.try_emplace(requestId);
+    it->second.push_back(std::move(line));
+    if (!isNew)
+        return;
+    m_order.push_back(requestId);
+    if (m_order.size() > requestsKept) {
+        m_lines.erase(m_order.front());
+        m_order.pop_front();
+    }
+}
+
+std::vector<std::string> DecisionLog::explain(const std::string &requestId) const
+{
+    auto found = m_lines.find(requestId);
+    return found == m_lines.end() ? std::vector<std::string> {} : found->second;
+}
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/transport/front.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "asio.h"
+#include "call_path.h"
+#include "http_server.h"
+#include "key_service.h"
+#include "node_state.h"
+#include "rate_service.h"
+#include "status_page.h"
+
+#include "ibiswell/decisions/call_table.h"
+#include "ibiswell/decisions/entry_admission.h"
+#include "ibiswell/kernel/kernel.h"
+#include "ibiswell/transport/decision_log.h"
+#include "ibiswell/transport/metrics.h"
+
+namespace ibiswell {
+
+/**
+ * The HTTP front: takes requests from callers and from the local backend server, and the
+ * operators' requests below "/-/".
+ */
+class Front
+{
+public:
+    /**
+     * Looks up "node", "entry", "calls", "call-path", "rates", "keys", "decisions", "metrics" and
+     * "status".
+     */
+    Front(Kernel &kernel, asio::io_context &context);
+
+    bool listen(const Endpoint &endpoint) { return m_server.listen(endpoint); }
+    void stop() { m_server.stop(); }
+    std::size_t connections() const { return m_server.connections(); }
+    const std::optional<Error> &lastError() const { return m_server.lastError(); }
+
+private:
+    Task<HttpAnswer> handle(HttpRequest request);
+    Task<HttpAnswer> handleCaller(HttpRequest request);
+    Task<HttpAnswer> handleBelow(HttpRequest request, std::string token);
+    Task<CallOutcome> runEntered(Entered entered);
+    HttpAnswer finish(const std::string &requestId, const Entered *entered, TimePoint start,
+                      CallResult result);
+
+    NodeState &m_node;
+    EntryAdmission &m_entry;
+    CallTable &m_calls;
+    CallPath &m_path;
+    RateService &m_rates;
+    KeyService &m_keys;
+    DecisionLog &m_decisions;
+    Metrics &m_metrics;
+    StatusPage &m_status;
+    HttpServer m_server;
+};
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/transport/gossip.cpp
@@ -0,0 +1,176 @@
+#include "gossip.h"
+
+#include "ibiswell/wire/codec.h"
+
+#include <fmt/format.h>
+
+namespace ibiswell {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration pullLimit = 2s;
+constexpr std::size_t policyNewsSpread = 4;
+
+} // namespace
+
+Gossip::Gossip(Kernel &kernel, asio::io_context &context)
+    : m_context(context)
+    , m_node(kernel.get<NodeState>("node"))
+    , m_membership(kernel.get<Membership>("membership"))
+    , m_router(kernel.get<Router>("router"))
+    , m_policy(kernel.get<PolicyStore>("policy"))
+    , m_links(kernel.get<PeerLinks>("peer-links"))
+    , m_log(kernel.get<Log>("log"))
+    , m_metrics(kernel.get<Metrics>("metrics"))
+    , m_socket(context)
+{
+    m_router.onMember(m_membership.self());
+}
+
+bool Gossip::listen(const Endpoint &endpoint)
+{
+    boost::system::error_code ec;
+    auto address = asio::ip::make_address(endpoint.address, ec);
+    if (!ec)
+        m_socket.open(address.is_v6() ? udp::v6() : udp::v4(), ec);
+    if (!ec)
+        m_socket.bind(udp::endpoint(address, endpoint.port), ec);
+    if (!ec)
+        m_socket.non_blocking(true, ec);
+    if (ec) {
+        m_lastError
+            = Error {ErrorKind::InvalidSetting,
+                     fmt::format("cannot bind UDP {}: {}", toString(endpoint), ec.message())};
+        return false;
+    }
+    asio::co_spawn(m_context, receiveLoop(), asio::detached);
+    asio::co_spawn(m_context, probeLoop(), asio::detached);
+    return true;
+}
+
+void Gossip::send(const SendDatagram &effect)
+{
+    boost::system::error_code ec;
+    auto address = asio::ip::make_address(effect.to.address, ec);
+    if (ec)
+        return;
+    std::string bytes = encode(effect.datagram);
+    if (bytes.size() > maximumDatagramBytes) {
+        Datagram shorter = effect.datagram;
+        shorter.updates.clear();
+        bytes = encode(shorter);
+    }
+    // A datagram that the system does not take is lost, like any other datagram may be.
+    m_socket.send_to(asio::buffer(bytes), udp::endpoint(address, effect.to.port), 0, ec);
+    m_metrics.datagramSent(bytes.size());
+}
+
+void Gossip::apply(const MembershipEffects &effects)
+{
+    struct Apply
+    {
+        Gossip &gossip;
+        void operator()(const SendDatagram &effect) const { gossip.send(effect); }
+        void operator()(const MemberChanged &effect) const
+        {
+            const Member &member = effect.member;
+            gossip.m_router.onMember(member);
+            gossip.m_log.write(steadyNow(), LogLevel::Info, "member",
+                               {{"node", member.node},
+                                {"state", std::string(toString(member.state))},
+                                {"service", member.service},
+                                {"zone", member.zone},
+                                {"incarnation", fmt::to_string(member.incarnation)}});
+        }
+    };
+    for (const MembershipEffect &effect : effects)
+        std::visit(Apply {*this}, effect);
+}
+
+void Gossip::receive(std::string_view bytes)
+{
+    m_metrics.datagramReceived(bytes.size());
+    Error error;
+    std::optional<Datagram> datagram = decodeDatagram(bytes, error);
+    if (!datagram) {
+        m_log.write(steadyNow(), LogLevel::Warning, "datagram-malformed",
+                    {{"detail", error.detail}});
+        return;
+    }
+    apply(m_membership.onDatagram(steadyNow(), *datagram));
+    if (datagram->policyVersion > m_policy.version() && !m_pulling) {
+        m_pulling = true;
+        asio::co_spawn(m_context, pullPolicy(datagram->senderEndpoint), asio::detached);
+    }
+    if (m_tokenHandler)
+        m_tokenHandler(*datagram);
+}
+
+Task<void> Gossip::receiveLoop()
+{
+    std::string buffer(64u << 10, '\0');
+    udp::endpoint sender;
+    for (;;) {
+        auto [ec, size]
+            = co_await m_socket.async_receive_from(asio::buffer(buffer), sender, asResult);
+        if (ec == asio::error::operation_aborted)
+            co_return;
+        if (!ec)
+            receive(std::string_view(buffer).substr(0, size));
+    }
+}
+
+Task<void> Gossip::probeLoop()
+{
+    for (;;) {
+        co_await sleepFor(Membership::probePeriod());
+        apply(m_membership.tick(steadyNow(), m_node.random));
+    }
+}
+
+Task<bool> Gossip::joinBy(Endpoint contact)
+{
+    PeerReply reply = co_await m_links.exchange(contact, PeerMessage(RosterRequest {}), pullLimit);
+    PeerMessage *message = std::get_if<PeerMessage>(&reply);
+    RosterAnswer *roster = message ? std::get_if<RosterAnswer>(message) : nullptr;
+    if (!roster)
+        co_return false;
+    apply(m_membership.onRoster(steadyNow(), roster->members));
+    apply(m_membership.spread(MemberNews {}, policyNewsSpread, m_node.random));
+    co_await pullPolicy(contact);
+    co_return true;
+}
+
+Task<void> Gossip::pullPolicy(Endpoint from)
+{
+    PeerMessage pull = PolicyPull {m_policy.version()};
+    PeerReply reply = co_await m_links.exchange(from, pull, pullLimit);
+    m_pulling = false;
+    PeerMessage *message = std::get_if<PeerMessage>(&reply);
+    PolicyAnswer *answer = message ? std::get_if<PolicyAnswer>(message) : nullptr;
+    if (answer && m_policy.adopt(*answer))
+        onPolicyAdopted();
+}
+
+void Gossip::onPolicyAdopted()
+{
+    m_membership.setPolicyVersion(m_policy.version());
+    m_log.write(steadyNow(), LogLevel::Info, "policy-adopted",
+                {{"version", fmt::to_string(m_policy.version())}});
+    apply(m_membership.spread(PolicyNews {}, policyNewsSpread, m_node.random));
+}
+
+void Gossip::announce(MemberState state)
+{
+    apply(m_membership.announceState(state, m_node.random));
+    m_router.onMember(m_membership.self());
+}
+
+void Gossip::announceLeases(std::vector<std::uint32_t> leases)
+{
+    apply(m_membership.announceLeases(std::move(leases), m_node.random));
+}
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/transport/lease_service.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "asio.h"
+#include "gossip.h"
+#include "node_state.h"
+#include "platform_client.h"
+
+#include "ibiswell/decisions/lease_keeper.h"
+#include "ibiswell/decisions/policy_store.h"
+#include "ibiswell/kernel/kernel.h"
+
+namespace ibiswell {
+
+/**
+ * Keeps the leases of this node through the platform and announces them.
+ *
+ * Lease numbers: first the rate shares, then the ranges of idempotency keys.
+ */
+class LeaseService
+{
+public:
+    /** Looks up "node", "policy", "membership", "leases", "platform" and "gossip". */
+    LeaseService(Kernel &kernel, asio::io_context &context);
+
+    Task<void> keep();
+    /** Gives all leases back, for a planned stop. */
+    Task<void> release();
+
+private:
+    Task<void> carryOut(LeaseEffect effect);
+    Task<void> read(std::uint32_t lease);
+    Task<void> write(WriteLease effect);
+    void spawn(std::vector<LeaseEffect> effects);
+
+    asio::io_context &m_context;
+    NodeState &m_node;
+    PolicyStore &m_policy;
+    Membership &m_membership;
+    LeaseKeeper &m_leases;
+    PlatformClient &m_platform;
+    Gossip &m_gossip;
+};
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/transport/log.cpp
@@ -0,0 +1,178 @@
+#include "ibiswell/transport/log.h"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+#include <poll.h>
+#include <unistd.h>
+
+namespace ibiswell {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int linesOfOneKind = 20; // in each window
+constexpr Duration repetitionWindow = 1s;
+constexpr auto longestDrain = 1s; // when the process ends
+
+std::string_view levelName(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return "debug";
+    case LogLevel::Info:
+        return "info";
+    case LogLevel::Warning:
+        return "warning";
+    case LogLevel::Error:
+        return "error";
+    }
+    return "error";
+}
+
+bool needsQuotes(std::string_view value)
+{
+    return value.empty() || value.find_first_of(" \"=\n\r\t\\") != std::string_view::npos;
+}
+
+void appendQuoted(std::string &line, std::string_view value)
+{
+    line += '"';
+    for (char c : value) {
+        if (c == '"' || c == '\\')
+            line += '\\';
+        line += static_cast<unsigned char>(c) < 0x20 ? ' ' : c;
+    }
+    line += '"';
+}
+
+std::string format(std::string_view level, std::string_view event,
+                   const std::vector<LogField> &fields)
+{
+    auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+    auto millis = now.time_since_epoch() % 1s;
+    std::string line = fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}", fmt::gmtime(now),
+                                   millis.count(), level, event);
+    for (const LogField &field : fields) {
+        line += ' ';
+        line += field.name;
+        line += '=';
+        if (needsQuotes(field.value))
+            appendQuoted(line, field.value);
+        else
+            line += field.value;
+    }
+    line += '\n';
+    return line;
+}
+
+} // namespace
+
+Log::Log(LogLevel level)
+    : m_level(level)
+    , m_writer([this] { writeLoop(); })
+{
+}
+
+Log::~Log()
+{
+    close();
+}
+
+void Log::close()
+{
+    if (!m_writer.joinable())
+        return;
+    {
+        std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_one();
+    m_writer.join();
+}
+
+void Log::decision(std::string_view event, const std::vector<LogField> &fields)
+{
+    append(format("decision", event, fields));
+}
+
+void Log::write(TimePoint now, LogLevel level, std::string_view event,
+                const std::vector<LogField> &fields)
+{
+    if (level < m_level)
+        return;
+    auto found = m_repetitions.find(event);
+    if (found == m_repetitions.end())
+        found = m_repetitions.emplace(std::string(event), Repetition {now, 0, 0}).first;
+    Repetition &repetition = found->second;
+    if (now - repetition.windowStart >= repetitionWindow) {
+        if (repetition.leftOut > 0)
+            append(format("warning", "lines-left-out",
+                          {{"event", std::string(event)},
+                           {"count", fmt::to_string(repetition.leftOut)}}));
+        repetition = {now, 0, 0};
+    }
+    if (++repetition.lines > linesOfOneKind) {
+        ++repetition.leftOut;
+        return;
+    }
+    append(format(levelName(level), event, fields));
+}
+
+void Log::append(std::string line)
+{
+    std::lock_guard lock(m_mutex);
+    if (m_buffer.size() + line.size() > bufferBytes) {
+        ++m_leftOut;
+        ++m_unstated;
+        return;
+    }
+    bool wasEmpty = m_buffer.empty();
+    if (m_unstated > 0) {
+        m_buffer += format("warning", "lines-left-out",
+                           {{"event", "buffer-full"}, {"count", fmt::to_string(m_unstated)}});
+        m_unstated = 0;
+    }
+    m_buffer += line;
+    if (wasEmpty)
+        m_wake.notify_one();
+}
+
+void Log::writeLoop()
+{
+    std::string chunk;
+    auto drainUntil = std::chrono::steady_clock::time_point::max();
+    for (;;) {
+        {
+            std::unique_lock lock(m_mutex);
+            m_wake.wait(lock, [this] { return m_stopping || !m_buffer.empty(); });
+            if (m_buffer.empty())
+                return;
+            chunk.swap(m_buffer);
+            m_buffer.clear();
+        }
+        std::size_t written = 0;
+        while (written < chunk.size()) {
+            {
+                std::lock_guard lock(m_mutex);
+                auto now = std::chrono::steady_clock::now();
+                if (m_stopping && drainUntil == std::chrono::steady_clock::time_point::max())
+                    drainUntil = now + longestDrain;
+                if (now > drainUntil)
+                    return;
+            }
+            pollfd descriptor {STDERR_FILENO, POLLOUT, 0};
+            if (::poll(&descriptor, 1, 100) <= 0)
+                continue;
+            std::size_t length = std::min<std::size_t>(chunk.size() - written, 4096);
+            ssize_t count = ::write(STDERR_FILENO, chunk.data() + written, length);
+            if (count <= 0)
+                return;
+            written += static_cast<std::size_t>(count);
+        }
+    }
+}
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/transport/metrics.cpp
@@ -0,0 +1,118 @@
+#include "ibiswell/transport/metrics.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics.hpp>
+#include <fmt/format.h>
+
+namespace ibiswell {
+
+namespace {
+
+namespace acc = boost::accumulators;
+using Quantile = acc::accumulator_set<double, acc::stats<acc::tag::p_square_quantile>>;
+
+std::string escaped(const std::string &label)
+{
+    std::string result;
+    for (char c : label) {
+        if (c == '"' || c == '\\')
+            result += '\\';
+        result += c == '\n' ? ' ' : c;
+    }
+    return result;
+}
+
+void header(std::string &out, std::string_view name, std::string_view type, std::string_view help)
+{
+    out += fmt::format("# HELP {} {}\n# TYPE {} {}\n", name, help, name, type);
+}
+
+void counter(std::string &out, std::string_view name, std::string_view help, std::uint64_t value)
+{
+    header(out, name, "counter", help);
+    out += fmt::format("{} {}\n", name, value);
+}
+
+} // namespace
+
+struct Metrics::Latency
+{
+    Quantile median {acc::quantile_probability = 0.5};
+    Quantile high {acc::quantile_probability = 0.99};
+    acc::accumulator_set<double, acc::stats<acc::tag::sum, acc::tag::count>> total;
+
+    void add(double seconds)
+    {
+        median(seconds);
+        high(seconds);
+        total(seconds);
+    }
+};
+
+Metrics::Metrics() = default;
+Metrics::~Metrics() = default;
+
+void Metrics::answered(const std::string &route, const std::string &team, PriorityClass priority,
+                       Duration latency)
+{
+    ++m_answered[{route, team, priority}];
+    std::unique_ptr<Latency> &entry = m_latencies[route];
+    if (!entry)
+        entry = std::make_unique<Latency>();
+    entry->add(inSeconds(latency));
+}
+
+void Metrics::refused(ErrorKind kind, const std::string &team, PriorityClass priority)
+{
+    ++m_refused[{kind, team, priority}];
+}
+
+void Metrics::datagramSent(std::size_t bytes)
+{
+    m_datagramBytesSent += bytes;
+}
+
+void Metrics::datagramReceived(std::size_t bytes)
+{
+    m_datagramBytesReceived += bytes;
+}
+
+std::string Metrics::text(const std::map<std::string, double> &gauges) const
+{
+    std::string out;
+    header(out, "ibiswell_answers_total", "counter", "Whole answers given to callers.");
+    for (const auto &[key, count] : m_answered)
+        out += fmt::format("ibiswell_answers_total{{route=\"{}\",team=\"{}\",class=\"{}\"}} {}\n",
+                           escaped(std::get<0>(key)), escaped(std::get<1>(key)),
+                           toString(std::get<2>(key)), count);
+    header(out, "ibiswell_refusals_total", "counter", "Refusals given to callers.");
+    for (const auto &[key, count] : m_refused)
+        out += fmt::format("ibiswell_refusals_total{{kind=\"{}\",team=\"{}\",class=\"{}\"}} {}\n",
+                           answerFor(std::get<0>(key)).name, escaped(std::get<1>(key)),
+                           toString(std::get<2>(key)), count);
+    header(out, "ibiswell_answer_seconds", "summary", "Time from request to whole answer.");
+    for (const auto &[route, latency] : m_latencies) {
+        std::string label = escaped(route);
+        out += fmt::format("ibiswell_answer_seconds{{route=\"{}\",quantile=\"0.5\"}} {:.6f}\n",
+                           label, acc::p_square_quantile(latency->median));
+        out += fmt::format("ibiswell_answer_seconds{{route=\"{}\",quantile=\"0.99\"}} {:.6f}\n",
+                           label, acc::p_square_quantile(latency->high));
+        out += fmt::format("ibiswell_answer_seconds_sum{{route=\"{}\"}} {:.6f}\n", label,
+                           acc::sum(latency->total));
+        out += fmt::format("ibiswell_answer_seconds_count{{route=\"{}\"}} {}\n", label,
+                           acc::count(latency->total));
+    }
+    counter(out, "ibiswell_retries_total", "Retries paid from call trees.", m_retries);
+    counter(out, "ibiswell_rechoices_total", "Free choices of another target.", m_rechoices);
+    counter(out, "ibiswell_platform_calls_total", "Calls to the platform.", m_platformCalls);
+    counter(out, "ibiswell_datagram_sent_bytes_total", "Bytes sent by UDP.", m_datagramBytesSent);
+    counter(out, "ibiswell_datagram_received_bytes_total", "Bytes received by UDP.",
+            m_datagramBytesReceived);
+    for (const auto &[name, value] : gauges) {
+        header(out, name, "gauge", "State of the node.");
+        out += fmt::format("{} {}\n", name, value);
+    }
+    return out;
+}
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/transport/operator_session.cpp
@@ -0,0 +1,207 @@
+#include "ibiswell/transport/operator_session.h"
+
+#include "asio.h"
+#include "http_client.h"
+#include "platform_client.h"
+
+#include "ibiswell/policy/object_reader.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+#include <fmt/format.h>
+
+#include <random>
+
+namespace ibiswell {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration pageLimit = 2s;
+constexpr int changeTries = 8;
+constexpr Duration pauseAfterLostAnswer = 300ms;
+constexpr Duration pauseBetweenPolls = 20ms;
+
+std::string newChangeId()
+{
+    std::random_device device;
+    return fmt::format("{:08x}{:08x}", device(), device());
+}
+
+/** Runs a task to its end on a context of its own. */
+template<typename T>
+T runTask(asio::io_context &context, Task<T> task)
+{
+    std::optional<T> result;
+    auto keep = [&result](std::exception_ptr, T value) { result = std::move(value); };
+    context.restart();
+    asio::co_spawn(context, std::move(task), keep);
+    context.run();
+    return std::move(*result);
+}
+
+} // namespace
+
+struct OperatorSession::Parts
+{
+    Endpoint platformEndpoint;
+    Endpoint node;
+    std::string token;
+    asio::io_context context {1};
+    std::optional<Error> lastError;
+
+    PlatformReply get()
+    {
+        PlatformClient platform(platformEndpoint);
+        return runTask(context, platform.get(std::string(policyObjectName)));
+    }
+    PlatformReply put(std::uint64_t ifVersion, const StoredPolicy &stored)
+    {
+        PlatformClient platform(platformEndpoint);
+        return runTask(context, platform.put(std::string(policyObjectName), ifVersion,
+                                             writeStoredPolicy(stored)));
+    }
+};
+
+OperatorSession::OperatorSession(Endpoint platform, Endpoint node, std::string token)
+    : m_parts(std::make_unique<Parts>())
+{
+    m_parts->platformEndpoint = std::move(platform);
+    m_parts->node = std::move(node);
+    m_parts->token = std::move(token);
+}
+
+OperatorSession::~OperatorSession() = default;
+
+const std::optional<Error> &OperatorSession::lastError() const
+{
+    return m_parts->lastError;
+}
+
+const Endpoint &OperatorSession::node() const
+{
+    return m_parts->node;
+}
+
+std::optional<StoredPolicy> OperatorSession::readPolicy()
+{
+    PlatformReply reply = m_parts->get();
+    if (const Error *error = std::get_if<Error>(&reply)) {
+        m_parts->lastError = *error;
+        return std::nullopt;
+    }
+    const PlatformObject &object = std::get<PlatformObject>(reply);
+    if (object.version == 0)
+        return StoredPolicy {};
+    Error error;
+    std::optional<StoredPolicy> stored = parseStoredPolicy(object.value, object.version, error);
+    if (!stored)
+        m_parts->lastError = error;
+    return stored;
+}
+
+std::optional<std::uint64_t> OperatorSession::change(const PolicyChange &change)
+{
+    std::string id = newChangeId();
+    std::optional<PolicyDocument> before;
+    for (int tries = 0; tries < changeTries; ++tries) {
+        std::optional<StoredPolicy> stored = readPolicy();
+        if (!stored) {
+            std::this_thread::sleep_for(pauseAfterLostAnswer);
+            continue;
+        }
+        if (stored->hasChange(id))
+            return stored->document.version;
+        if (before && !isIndependent(change, *before, stored->document)) {
+            m_parts->lastError
+                = Error {ErrorKind::VersionConflict,
+                         fmt::format("another operator changed the same entries (version {}); "
+                                     "nothing was written",
+                                     stored->document.version)};
+            return std::nullopt;
+        }
+        before = stored->document;
+        Error error;
+        if (!makeChange(stored->document, change, error)) {
+            m_parts->lastError = error;
+            return std::nullopt;
+        }
+        std::uint64_t version = stored->document.version;
+        stored->addChange(id);
+        PlatformReply reply = m_parts->put(version, *stored);
+        if (const PlatformObject *object = std::get_if<PlatformObject>(&reply))
+            return object->version;
+        if (const Error *lost = std::get_if<Error>(&reply))
+            m_parts->lastError = *lost;
+    }
+    if (!m_parts->lastError || m_parts->lastError->kind != ErrorKind::PlatformUnavailable)
+        m_parts->lastError = Error {ErrorKind::VersionConflict, "too many operators write at once"};
+    return std::nullopt;
+}
+
+std::optional<std::string> OperatorSession::page(const Endpoint &node, const std::string &path)
+{
+    HttpClient client(node);
+    HttpRequest request {"GET", path, {}, {}};
+    if (!m_parts->token.empty())
+        request.headers.push_back({"authorization", "Bearer " + m_parts->token});
+    CallResult result
+        = runTask(m_parts->context, client.exchange(std::move(request), pageLimit));
+    if (const Refusal *refusal = std::get_if<Refusal>(&result)) {
+        m_parts->lastError = Error {refusal->kind, fmt::format("{}: {}", toString(node),
+                                                               refusal->detail)};
+        return std::nullopt;
+    }
+    HttpAnswer &answer = std::get<HttpAnswer>(result);
+    if (answer.status != 200) {
+        m_parts->lastError = Error {ErrorKind::NotPermitted,
+                                    fmt::format("{} answered {}", toString(node), answer.status)};
+        return std::nullopt;
+    }
+    return std::move(answer.body);
+}
+
+std::optional<std::vector<Endpoint>> OperatorSession::members()
+{
+    std::optional<std::string> status = page(m_parts->node, "/-/status");
+    if (!status)
+        return std::nullopt;
+    std::vector<Endpoint> endpoints;
+    boost::json::value root = boost::json::parse(*status);
+    for (const boost::json::value &member : root.at("members").as_array()) {
+        std::string state {member.at("state").as_string()};
+        if (state == "dead")
+            continue;
+        endpoints.push_back({std::string(member.at("address").as_string()),
+                             member.at("http_port").to_number<std::uint16_t>()});
+    }
+    return endpoints;
+}
+
+std::optional<OperatorSession::InForce> OperatorSession::waitInForce(std::uint64_t version,
+                                                                     Duration limit)
+{
+    TimePoint start = steadyNow();
+    std::optional<std::vector<Endpoint>> nodes = members();
+    if (!nodes)
+        return std::nullopt;
+    std::vector<Endpoint> behind = *nodes;
+    InForce inForce {nodes->size(), behind.size(), {}};
+    for (;;) {
+        std::erase_if(behind, [&](const Endpoint &endpoint) {
+            std::optional<std::string> status = page(endpoint, "/-/status");
+            if (!status)
+                return false;
+            boost::json::value root = boost::json::parse(*status);
+            return root.at("policy_version").to_number<std::uint64_t>() >= version;
+        });
+        inForce.behind = behind.size();
+        inForce.took = steadyNow() - start;
+        if (behind.empty() || inForce.took >= limit)
+            return inForce;
+        std::this_thread::sleep_for(pauseBetweenPolls);
+    }
+}
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/transport/peer_connection.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "asio.h"
+
+#include "ibiswell/core/messages.h"
+
+#include <span>
+
+namespace ibiswell {
+
+/** A TCP connection between two nodes that carries length-framed messages, one call at a time. */
+class PeerConnection
+{
+public:
+    explicit PeerConnection(tcp::socket socket);
+
+    /**
+     * False when the connection failed or took no byte for @p silence; the peer may have got any
+     * part of the message.
+     */
+    Task<bool> send(const PeerMessage &message, Duration silence);
+    /**
+     * The next message; nothing, with lastError(), when the connection ended, was malformed, or
+     * no byte came for @p silence. Without @p silence it waits for as long as it takes.
+     */
+    Task<std::optional<PeerMessage>> receive(std::optional<Duration> silence);
+
+    tcp::socket &socket() { return m_socket; }
+    const std::optional<Error> &lastError() const { return m_lastError; }
+
+private:
+    Task<bool> readAll(std::span<char> bytes, std::optional<Duration> silence);
+    Task<bool> writeAll(std::span<const char> bytes, Duration silence);
+
+    tcp::socket m_socket;
+    std::optional<Error> m_lastError;
+};
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/transport/peer_server.cpp
@@ -0,0 +1,126 @@
+#include "peer_server.h"
+
+#include "key_service.h"
+#include "peer_links.h"
+#include "target_service.h"
+
+#include "ibiswell/decisions/membership.h"
+#include "ibiswell/decisions/policy_store.h"
+
+#include <fmt/format.h>
+
+namespace ibiswell {
+
+PeerServer::PeerServer(Kernel &kernel, asio::io_context &context)
+    : m_context(context)
+    , m_target(kernel.get<TargetService>("target"))
+    , m_membership(kernel.get<Membership>("membership"))
+    , m_policy(kernel.get<PolicyStore>("policy"))
+    , m_keys(kernel.get<KeyService>("keys"))
+    , m_log(kernel.get<Log>("log"))
+    , m_acceptor(context)
+{
+}
+
+bool PeerServer::listen(const Endpoint &endpoint)
+{
+    std::optional<tcp::endpoint> local = toTcp(endpoint);
+    boost::system::error_code ec = asio::error::invalid_argument;
+    if (local)
+        m_acceptor.open(local->protocol(), ec);
+    if (!ec)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    if (!ec)
+        m_acceptor.bind(*local, ec);
+    if (!ec)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    if (ec) {
+        m_lastError
+            = Error {ErrorKind::InvalidSetting,
+                     fmt::format("cannot listen on {}: {}", toString(endpoint), ec.message())};
+        return false;
+    }
+    asio::co_spawn(m_context, acceptLoop(), asio::detached);
+    return true;
+}
+
+void PeerServer::stop()
+{
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+Task<void> PeerServer::acceptLoop()
+{
+    using namespace std::chrono_literals;
+    while (m_acceptor.is_open()) {
+        auto [ec, socket] = co_await m_acceptor.async_accept(asResult);
+        if (ec && m_acceptor.is_open())
+            co_await sleepFor(10ms); // out of descriptors: wait for some to be freed
+        if (ec)
+            continue;
+        boost::system::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        asio::co_spawn(m_context, serve(PeerConnection(std::move(socket))), asio::detached);
+    }
+}
+
+Task<void> PeerServer::serve(PeerConnection connection)
+{
+    for (;;) {
+        std::optional<PeerMessage> message = co_await connection.receive(std::nullopt);
+        if (!message) {
+            if (connection.lastError()->kind == ErrorKind::MalformedMessage)
+                m_log.write(steadyNow(), LogLevel::Warning, "peer-message-malformed",
+                            {{"detail", connection.lastError()->detail}});
+            co_return;
+        }
+        bool goesOn = co_await serveMessage(connection, std::move(*message));
+        if (!goesOn)
+            co_return;
+    }
+}
+
+Task<bool> PeerServer::serveMessage(PeerConnection &connection, PeerMessage message)
+{
+    PeerMessage reply;
+    if (CallMessage *call = std::get_if<CallMessage>(&message))
+        co_return co_await serveCall(connection, std::move(*call));
+    if (std::holds_alternative<RosterRequest>(message))
+        reply = RosterAnswer {m_membership.roster()};
+    else if (const PolicyPull *pull = std::get_if<PolicyPull>(&message))
+        reply = m_policy.answerPull(pull->haveVersion);
+    else if (const KeyClaim *claim = std::get_if<KeyClaim>(&message))
+        reply = m_keys.claimHere(*claim);
+    else if (const KeySettled *settled = std::get_if<KeySettled>(&message))
+        reply = m_keys.settleHere(*settled);
+    else
+        co_return false; // an answer that nobody asked for
+    co_return co_await connection.send(reply, silenceLimit);
+}
+
+Task<bool> PeerServer::serveCall(PeerConnection &connection, CallMessage call)
+{
+    using namespace asio::experimental::awaitable_operators;
+    std::uint64_t callId = call.callId;
+    auto ended = co_await (m_target.run(std::move(call)) || keepWorking(connection, callId)
+                           || untilClosed(connection.socket()));
+    if (ended.index() != 0)
+        co_return false;
+    PeerMessage reply(std::move(std::get<0>(ended)));
+    co_return co_await connection.send(reply, silenceLimit);
+}
+
+/** Tells the caller's node that the call still runs; ends when the connection fails. */
+Task<bool> PeerServer::keepWorking(PeerConnection &connection, std::uint64_t callId)
+{
+    for (;;) {
+        co_await sleepFor(workingInterval);
+        PeerMessage message = WorkingMessage {callId};
+        bool sent = co_await connection.send(message, silenceLimit);
+        if (!sent)
+            co_return false;
+    }
+}
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/transport/peer_server.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "asio.h"
+#include "peer_connection.h"
+
+#include "ibiswell/kernel/kernel.h"
+#include "ibiswell/transport/log.h"
+
+#include <set>
+
+namespace ibiswell {
+
+class KeyService;
+class Membership;
+class PolicyStore;
+class TargetService;
+
+/** Answers other nodes over TCP: one task for each connection, one message at a time on it. */
+class PeerServer
+{
+public:
+    /** Looks up "target", "membership", "policy", "keys" and "log". */
+    PeerServer(Kernel &kernel, asio::io_context &context);
+
+    bool listen(const Endpoint &endpoint);
+    void stop();
+    const std::optional<Error> &lastError() const { return m_lastError; }
+
+private:
+    Task<void> acceptLoop();
+    Task<void> serve(PeerConnection connection);
+    Task<bool> serveMessage(PeerConnection &connection, PeerMessage message);
+    Task<bool> serveCall(PeerConnection &connection, CallMessage call);
+    Task<bool> keepWorking(PeerConnection &connection, std::uint64_t callId);
+
+    asio::io_context &m_context;
+    TargetService &m_target;
+    Membership &m_membership;
+    PolicyStore &m_policy;
+    KeyService &m_keys;
+    Log &m_log;
+    tcp::acceptor m_acceptor;
+    std::optional<Error> m_lastError;
+};
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/transport/platform_client.cpp
@@ -0,0 +1,84 @@
+#include "platform_client.h"
+
+#include <fmt/format.h>
+
+#include <charconv>
+
+namespace ibiswell {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration callLimit = 3s;
+
+/** The version that an answer carries in its ETag. */
+std::optional<std::uint64_t> versionOf(const HttpAnswer &answer)
+{
+    for (const HeaderField &field : answer.headers) {
+        if (field.name != "ETag" && field.name != "etag")
+            continue;
+        std::uint64_t version = 0;
+        std::string_view text = field.value;
+        if (text.size() >= 2 && text.front() == '"')
+            text = text.substr(1, text.size() - 2);
+        auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), version);
+        if (ec == std::errc {})
+            return version;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+PlatformClient::PlatformClient(Endpoint platform)
+    : m_client(std::move(platform))
+{
+}
+
+Task<PlatformReply> PlatformClient::send(HttpRequest request, Duration limit)
+{
+    ++m_calls;
+    CallResult result = co_await m_client.exchange(std::move(request), limit);
+    if (const Refusal *refusal = std::get_if<Refusal>(&result))
+        co_return Error {ErrorKind::PlatformUnavailable, refusal->detail};
+    HttpAnswer &answer = std::get<HttpAnswer>(result);
+    if (answer.status == 404)
+        co_return PlatformObject {};
+    if (answer.status == 409 || answer.status == 412)
+        co_return PlatformConflict {};
+    std::optional<std::uint64_t> version = versionOf(answer);
+    if (answer.status != 200 || !version)
+        co_return Error {ErrorKind::PlatformUnavailable,
+                         fmt::format("the platform answered {}", answer.status)};
+    co_return PlatformObject {*version, std::move(answer.body)};
+}
+
+Task<PlatformReply> PlatformClient::get(std::string name)
+{
+    HttpRequest request {"GET", fmt::format("/objects/{}", name), {}, {}};
+    co_return co_await send(std::move(request), callLimit);
+}
+
+Task<PlatformReply> PlatformClient::put(std::string name, std::uint64_t ifVersion,
+                                        std::string value)
+{
+    HttpRequest request {"PUT",
+                         fmt::format("/objects/{}?if_version={}", name, ifVersion),
+                         {{"content-type", "application/json"}},
+                         std::move(value)};
+    co_return co_await send(std::move(request), callLimit);
+}
+
+Task<PlatformReply> PlatformClient::watch(std::string name, std::uint64_t after, Duration wait)
+{
+    auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait);
+    HttpRequest request {"GET",
+                         fmt::format("/watch/{}?after={}&wait_ms={}", name, after,
+                                     milliseconds.count()),
+                         {},
+                         {}};
+    co_return co_await send(std::move(request), wait + callLimit);
+}
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/transport/platform_client.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "asio.h"
+#include "http_client.h"
+
+#include "ibiswell/core/error.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace ibiswell {
+
+/** An object of the platform's store. */
+struct PlatformObject
+{
+    std::uint64_t version = 0; ///< 0: the object does not exist.
+    std::string value;
+};
+
+/** The conditional write met another version and changed nothing. */
+struct PlatformConflict
+{
+};
+
+using PlatformReply = std::variant<PlatformObject, PlatformConflict, Error>;
+
+/**
+ * Client of the platform's object API: versions, conditional writes and watches over HTTP.
+ *
+ * An Error after put() leaves open whether the write took effect; the caller reads to find out.
+ */
+class PlatformClient
+{
+public:
+    explicit PlatformClient(Endpoint platform);
+
+    Task<PlatformReply> get(std::string name);
+    /** Writes when the version is still @p ifVersion (0: when the object does not exist). */
+    Task<PlatformReply> put(std::string name, std::uint64_t ifVersion, std::string value);
+    /** The object as soon as its version is above @p after, or as it is after @p wait. */
+    Task<PlatformReply> watch(std::string name, std::uint64_t after, Duration wait);
+
+    std::uint64_t calls() const { return m_calls; }
+
+private:
+    Task<PlatformReply> send(HttpRequest request, Duration limit);
+
+    HttpClient m_client;
+    std::uint64_t m_calls = 0;
+};
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/transport/settings.cpp
@@ -0,0 +1,121 @@
+#include "ibiswell/transport/settings.h"
+
+#include "ibiswell/policy/object_reader.h"
+
+#include <fmt/format.h>
+
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+
+namespace ibiswell {
+
+namespace {
+
+constexpr NumberRange portRange {1, 65535};
+
+void readEndpoint(const boost::json::value &value, const std::string &path, FaultList &faults,
+                  Endpoint &endpoint)
+{
+    int port = 0;
+    ObjectReader reader(value, path, faults);
+    reader.requiredText("address", endpoint.address);
+    reader.integer("port", portRange, port);
+    if (port == 0)
+        faults.add(reader.pathOf("port"), "is required");
+    reader.finish();
+    endpoint.port = static_cast<std::uint16_t>(port);
+}
+
+void readRequiredEndpoint(ObjectReader &reader, std::string_view field, FaultList &faults,
+                          Endpoint &endpoint)
+{
+    if (const boost::json::value *value = reader.child(field))
+        readEndpoint(*value, reader.pathOf(field), faults, endpoint);
+    else
+        faults.add(reader.pathOf(field), "is required");
+}
+
+void readContacts(ObjectReader &reader, FaultList &faults, std::vector<Endpoint> &contacts)
+{
+    const boost::json::value *value = reader.child("contacts");
+    if (!value)
+        return;
+    if (!value->is_array()) {
+        faults.add("contacts", "must be a list of {\"address\", \"port\"}");
+        return;
+    }
+    for (const boost::json::value &item : value->as_array()) {
+        std::string path = fmt::format("contacts[{}]", contacts.size());
+        readEndpoint(item, path, faults, contacts.emplace_back());
+    }
+}
+
+LogLevel logLevelFrom(std::string_view name)
+{
+    if (name == "debug")
+        return LogLevel::Debug;
+    if (name == "warning")
+        return LogLevel::Warning;
+    return name == "error" ? LogLevel::Error : LogLevel::Info;
+}
+
+} // namespace
+
+std::optional<NodeSettings> parseNodeSettings(std::string_view text, Error &error)
+{
+    auto value = parseJson(text, ErrorKind::InvalidSetting, error);
+    if (!value)
+        return std::nullopt;
+    NodeSettings settings;
+    FaultList faults;
+    ObjectReader reader(*value, "", faults);
+    reader.requiredText("node", settings.node);
+    reader.requiredText("service", settings.service);
+    reader.requiredText("zone", settings.zone);
+    reader.text("address", settings.address);
+    reader.integer("http_port", portRange, settings.httpPort);
+    reader.integer("peer_port", portRange, settings.peerPort);
+    if (settings.httpPort == 0)
+        faults.add("http_port", "is required");
+    if (settings.peerPort == 0)
+        faults.add("peer_port", "is required");
+    readRequiredEndpoint(reader, "backend", faults, settings.backend);
+    readRequiredEndpoint(reader, "platform", faults, settings.platform);
+    readContacts(reader, faults, settings.contacts);
+    reader.milliseconds("lease_ms", {1000, 86'400'000}, settings.leaseDuration);
+    reader.milliseconds("other_zone_latency_ms", {0, 1000}, settings.otherZoneLatency);
+    reader.milliseconds("slow_client_ms", {100, 600'000}, settings.slowClient);
+    reader.milliseconds("stop_limit_ms", {0, 3'600'000}, settings.stopLimit);
+    reader.integer("body_bytes", {1024, 16 << 20}, settings.bodyBytes);
+    reader.integer("header_bytes", {1024, 1 << 20}, settings.headerBytes);
+    reader.integer("connections", {1, 1'000'000}, settings.connections);
+    reader.text("operator_token_sha256", settings.operatorTokenHash);
+    if (!settings.operatorTokenHash.empty() && settings.operatorTokenHash.size() != 64)
+        faults.add("operator_token_sha256", "must be 64 hexadecimal digits");
+    std::string level = "info";
+    reader.choice("log_level", {"debug", "info", "warning", "error"}, level);
+    settings.logLevel = logLevelFrom(level);
+    reader.finish();
+    if (!faults.isEmpty()) {
+        error = {ErrorKind::InvalidSetting, faults.text()};
+        return std::nullopt;
+    }
+    return settings;
+}
+
+std::optional<std::string> readFile(const std::string &path, Error &error)
+{
+    std::ifstream stream(path, std::ios::binary);
+    if (!stream) {
+        error = {ErrorKind::InvalidSetting,
+                 fmt::format("{}: cannot be read: {}", path, std::strerror(errno))};
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return std::move(text).str();
+}
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/transport/status_page.cpp
@@ -0,0 +1,138 @@
+#include "status_page.h"
+
+#include "asio.h"
+#include "platform_client.h"
+
+#include "ibiswell/core/hash.h"
+#include "ibiswell/decisions/entry_admission.h"
+#include "ibiswell/decisions/lease_keeper.h"
+#include "ibiswell/decisions/membership.h"
+#include "ibiswell/decisions/policy_store.h"
+#include "ibiswell/decisions/target_admission.h"
+#include "ibiswell/transport/decision_log.h"
+#include "ibiswell/transport/metrics.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <openssl/crypto.h>
+
+namespace ibiswell {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view bearer = "Bearer ";
+
+HttpAnswer answerOf(int status, std::string type, std::string body)
+{
+    return {status, {{"content-type", std::move(type)}}, std::move(body)};
+}
+
+} // namespace
+
+StatusPage::StatusPage(Kernel &kernel)
+    : m_node(kernel.get<NodeState>("node"))
+    , m_membership(kernel.get<Membership>("membership"))
+    , m_policy(kernel.get<PolicyStore>("policy"))
+    , m_admission(kernel.get<TargetAdmission>("admission"))
+    , m_leases(kernel.get<LeaseKeeper>("leases"))
+    , m_platform(kernel.get<PlatformClient>("platform"))
+    , m_decisions(kernel.get<DecisionLog>("decisions"))
+    , m_metrics(kernel.get<Metrics>("metrics"))
+    , m_log(kernel.get<Log>("log"))
+{
+}
+
+bool StatusPage::isPermitted(const HttpRequest &request) const
+{
+    const std::string &expected = m_node.settings.operatorTokenHash;
+    if (expected.empty())
+        return true;
+    std::string_view given = request.header(headers::authorization);
+    if (!given.starts_with(bearer))
+        return false;
+    std::string hash = sha256Hex(given.substr(bearer.size()));
+    return CRYPTO_memcmp(hash.data(), expected.data(), hash.size()) == 0;
+}
+
+HttpAnswer StatusPage::answer(const HttpRequest &request) const
+{
+    constexpr std::string_view explainPath = "/-/explain?request=";
+    std::string_view path = request.path;
+    if (path == "/-/health")
+        return answerOf(200, "application/json", "{\"state\":\"ok\"}\n");
+    if (!isPermitted(request)) {
+        const ErrorAnswer &denied = answerFor(ErrorKind::NotPermitted);
+        return answerOf(denied.httpStatus, "text/plain", std::string(denied.name) + "\n");
+    }
+    if (path == "/-/status")
+        return answerOf(200, "application/json", status());
+    if (path == "/-/metrics")
+        return answerOf(200, "text/plain; version=0.0.4", m_metrics.text(gauges()));
+    if (path.starts_with(explainPath))
+        return answerOf(200, "application/json",
+                        explain(std::string(path.substr(explainPath.size()))));
+    return answerOf(404, "text/plain", "known: /-/status /-/metrics /-/health /-/explain\n");
+}
+
+std::string StatusPage::status() const
+{
+    json::object root;
+    root["node"] = m_node.settings.node;
+    root["service"] = m_node.settings.service;
+    root["zone"] = m_node.settings.zone;
+    root["policy_version"] = m_policy.version();
+    root["stopping"] = m_node.stopping;
+    root["limit"] = m_admission.limit();
+    root["in_flight"] = m_admission.inFlight();
+    root["queued"] = m_admission.queued();
+    root["worst_fraction"] = m_admission.worstFraction();
+    json::array leases;
+    for (std::uint32_t lease : m_leases.held(steadyNow()))
+        leases.emplace_back(lease);
+    root["leases"] = std::move(leases);
+    json::array members;
+    for (const Member &member : m_membership.roster())
+        members.push_back(json::object {{"node", member.node},
+                                        {"service", member.service},
+                                        {"zone", member.zone},
+                                        {"address", member.endpoint.address},
+                                        {"http_port", member.httpPort},
+                                        {"state", std::string(toString(member.state))},
+                                        {"incarnation", member.incarnation},
+                                        {"leases", member.leases.size()}});
+    root["members"] = std::move(members);
+    json::object zones;
+    for (const auto &[zone, reason] : m_policy.policy().zonesOut)
+        zones[zone] = reason;
+    root["zones_out"] = std::move(zones);
+    return json::serialize(root) + "\n";
+}
+
+std::string StatusPage::explain(const std::string &requestId) const
+{
+    json::array lines;
+    for (const std::string &line : m_decisions.explain(requestId))
+        lines.emplace_back(line);
+    return json::serialize(json::object {{"node", m_node.settings.node}, {"lines", lines}}) + "\n";
+}
+
+std::map<std::string, double> StatusPage::gauges() const
+{
+    return {
+        {"ibiswell_concurrency_limit", m_admission.limit()},
+        {"ibiswell_calls_in_flight", m_admission.inFlight()},
+        {"ibiswell_calls_queued", static_cast<double>(m_admission.queued())},
+        {"ibiswell_worst_admitted_fraction", m_admission.worstFraction()},
+        {"ibiswell_cold_starts_noticed", static_cast<double>(m_admission.learned().restarts())},
+        {"ibiswell_policy_version", static_cast<double>(m_policy.version())},
+        {"ibiswell_members", static_cast<double>(m_membership.size())},
+        {"ibiswell_leases_held", static_cast<double>(m_leases.held(steadyNow()).size())},
+        {"ibiswell_platform_calls", static_cast<double>(m_platform.calls())},
+        {"ibiswell_log_lines_left_out", static_cast<double>(m_log.linesLeftOut())},
+    };
+}
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/transport/status_page.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "node_state.h"
+
+#include "ibiswell/core/messages.h"
+#include "ibiswell/core/time.h"
+#include "ibiswell/kernel/kernel.h"
+
+#include <map>
+#include <string>
+
+namespace ibiswell {
+
+class DecisionLog;
+class LeaseKeeper;
+class Log;
+class Membership;
+class Metrics;
+class PlatformClient;
+class PolicyStore;
+class TargetAdmission;
+
+/**
+ * Answers operators and monitoring systems below "/-/": status, explain, metrics and health.
+ *
+ * With an operator token in the settings, all but health ask for it.
+ */
+class StatusPage
+{
+public:
+    /**
+     * Looks up "node", "membership", "policy", "admission", "leases", "platform", "decisions",
+     * "metrics" and "log".
+     */
+    explicit StatusPage(Kernel &kernel);
+
+    HttpAnswer answer(const HttpRequest &request) const;
+
+private:
+    bool isPermitted(const HttpRequest &request) const;
+    std::string status() const;
+    std::string explain(const std::string &requestId) const;
+    std::map<std::string, double> gauges() const;
+
+    NodeState &m_node;
+    Membership &m_membership;
+    PolicyStore &m_policy;
+    TargetAdmission &m_admission;
+    LeaseKeeper &m_leases;
+    PlatformClient &m_platform;
+    DecisionLog &m_decisions;
+    Metrics &m_metrics;
+    Log &m_log;
+};
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/transport/target_service.cpp
@@ -0,0 +1,248 @@
+#include "target_service.h"
+
+#include "ibiswell/decisions/entry_admission.h"
+
+#include <fmt/format.h>
+
+namespace ibiswell {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration expiryInterval = 10ms;
+constexpr Duration healthLimit = 1s;
+constexpr int statusUnavailable = 503;
+constexpr int statusTooMany = 429;
+
+Refusal notRun(ErrorKind kind, std::string detail)
+{
+    return {kind, std::move(detail), Execution::NotRun};
+}
+
+WorkOutcome outcomeOf(const CallResult &result)
+{
+    const HttpAnswer *answer = std::get_if<HttpAnswer>(&result);
+    if (!answer)
+        return WorkOutcome::Failed;
+    bool shed = answer->status == statusUnavailable || answer->status == statusTooMany;
+    return shed ? WorkOutcome::Shed : WorkOutcome::Completed;
+}
+
+} // namespace
+
+/** Holds a ticket; gives the slot or the place in the queue back when the call goes away. */
+class TargetService::SlotGuard
+{
+public:
+    SlotGuard(TargetService &service, Ticket ticket)
+        : m_service(service)
+        , m_ticket(ticket)
+    {
+    }
+    SlotGuard(const SlotGuard &) = delete;
+    SlotGuard &operator=(const SlotGuard &) = delete;
+    ~SlotGuard()
+    {
+        m_service.m_waiters.erase(m_ticket);
+        if (!m_token.empty())
+            m_service.m_calls.end(steadyNow(), m_token);
+        if (m_settled)
+            return;
+        m_service.m_admission.abandon(m_ticket);
+        Duration held = m_started ? steadyNow() - m_startedAt : Duration {};
+        finish({WorkOutcome::Failed, held, {}, true});
+    }
+
+    void started(std::string token)
+    {
+        m_started = true;
+        m_startedAt = steadyNow();
+        m_token = std::move(token);
+    }
+    CallTable::Ended endCall()
+    {
+        CallTable::Ended ended = m_service.m_calls.end(steadyNow(), m_token);
+        m_token.clear();
+        return ended;
+    }
+    void finish(const WorkEnd &end)
+    {
+        m_settled = true;
+        m_service.apply(m_service.m_admission.finish(steadyNow(), m_ticket, end));
+    }
+    void settled() { m_settled = true; }
+    TimePoint startedAt() const { return m_startedAt; }
+
+private:
+    TargetService &m_service;
+    Ticket m_ticket;
+    bool m_started = false;
+    bool m_settled = false;
+    TimePoint m_startedAt;
+    std::string m_token;
+};
+
+TargetService::TargetService(Kernel &kernel, asio::io_context &context)
+    : m_context(context)
+    , m_node(kernel.get<NodeState>("node"))
+    , m_policy(kernel.get<PolicyStore>("policy"))
+    , m_admission(kernel.get<TargetAdmission>("admission"))
+    , m_calls(kernel.get<CallTable>("calls"))
+    , m_decisions(kernel.get<DecisionLog>("decisions"))
+    , m_backend(m_node.settings.backend)
+{
+}
+
+std::optional<Refusal> TargetService::refuseEarly(const CallMessage &call) const
+{
+    if (!m_policy.isReady())
+        return notRun(ErrorKind::NodeNotReady, "the node has no policy yet");
+    if (call.service != m_node.settings.service)
+        return notRun(ErrorKind::TargetLeaving,
+                      fmt::format("the target here is of service \"{}\"", m_node.settings.service));
+    if (m_node.stopping)
+        return notRun(ErrorKind::NodeStopping, "the node stops");
+    if (m_node.backendLeaving)
+        return notRun(ErrorKind::TargetLeaving, "the backend server takes no new work");
+    if (m_policy.policy().isZoneOut(m_node.settings.zone))
+        return notRun(ErrorKind::ZoneOut,
+                      fmt::format("zone \"{}\" is out of service", m_node.settings.zone));
+    return std::nullopt;
+}
+
+Task<AnswerMessage> TargetService::run(CallMessage call)
+{
+    CallTable::Ended ended;
+    ended.retriesLeft = call.context.retriesLeft;
+    if (std::optional<Refusal> refusal = refuseEarly(call))
+        co_return answer(call, *refusal, ended);
+    TimePoint arrivedAt = steadyNow();
+    double weight = m_policy.policy().team(call.context.team).weight;
+    Arrival arrival {call.route, call.context, weight};
+    std::vector<AdmissionEffect> effects = m_admission.arrive(arrivedAt, arrival);
+    AdmissionEffect own = effects.front();
+    effects.erase(effects.begin());
+    apply(effects);
+    if (const RefuseCall *refused = std::get_if<RefuseCall>(&own)) {
+        Refusal refusal = notRun(refused->kind, fmt::format("limit {}, {} in flight, {} queued",
+                                                            m_admission.limit(), inFlight(),
+                                                            m_admission.queued()));
+        co_return answer(call, refusal, ended);
+    }
+    Ticket ticket = std::visit([](const auto &effect) { return effect.ticket; }, own);
+    SlotGuard slot(*this, ticket);
+    if (std::holds_alternative<QueueCall>(own)) {
+        std::optional<Refusal> refusal = co_await awaitSlot(ticket);
+        if (refusal) {
+            slot.settled();
+            co_return answer(call, *refusal, ended);
+        }
+        call.context.timeLeft -= steadyNow() - arrivedAt;
+    }
+    CallResult result = co_await work(call, slot, ended);
+    co_return answer(call, std::move(result), ended);
+}
+
+Task<std::optional<Refusal>> TargetService::awaitSlot(Ticket ticket)
+{
+    asio::steady_timer timer(m_context, std::chrono::steady_clock::time_point::max());
+    auto [it, isNew] = m_waiters.try_emplace(ticket, Waiter {std::move(timer), std::nullopt});
+    Waiter &waiter = it->second;
+    while (!waiter.verdict)
+        co_await waiter.timer.async_wait(asResult);
+    AdmissionEffect verdict = *waiter.verdict;
+    m_waiters.erase(ticket);
+    if (const RefuseCall *refused = std::get_if<RefuseCall>(&verdict))
+        co_return notRun(refused->kind, "refused while it waited for a slot");
+    co_return std::nullopt;
+}
+
+Task<CallResult> TargetService::work(CallMessage &call, SlotGuard &slot, CallTable::Ended &ended)
+{
+    std::string token = m_node.makeId();
+    m_calls.start(steadyNow(), token, call.context);
+    slot.started(token);
+    CallResult result
+        = co_await m_backend.exchange(backendRequest(call, token), call.context.timeLeft);
+    ended = slot.endCall();
+    Duration slotTime = steadyNow() - slot.startedAt();
+    WorkOutcome outcome = outcomeOf(result);
+    slot.finish({outcome, slotTime, ended.waitedBelow, ended.callsBelow > 0
+                     && outcome == WorkOutcome::Shed});
+    bool ownShedding = outcome == WorkOutcome::Shed && ended.callsBelow == 0;
+    if (ownShedding)
+        result = Refusal {ErrorKind::BackendShed, "the backend server shed the request",
+                          Execution::Unknown};
+    co_return result;
+}
+
+HttpRequest TargetService::backendRequest(CallMessage &call, const std::string &token) const
+{
+    HttpRequest request = std::move(call.request);
+    const CallContext &context = call.context;
+    request.removeHeader(headers::requestId);
+    auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(context.timeLeft);
+    request.headers.push_back({std::string(headers::requestId), context.requestId});
+    request.headers.push_back({std::string(headers::call), token});
+    request.headers.push_back({std::string(headers::team), context.team});
+    request.headers.push_back(
+        {std::string(headers::deadline), fmt::to_string(milliseconds.count())});
+    return request;
+}
+
+AnswerMessage TargetService::answer(const CallMessage &call, CallResult result,
+                                    const CallTable::Ended &ended) const
+{
+    AnswerMessage message;
+    message.callId = call.callId;
+    message.load = m_admission.report(call.context.priority, call.context.team);
+    message.load.pathFraction = std::min(message.load.pathFraction, ended.pathFraction);
+    message.retriesLeft = ended.retriesLeft;
+    const Refusal *refusal = std::get_if<Refusal>(&result);
+    std::string outcome = refusal ? std::string(answerFor(refusal->kind).name) : "answered";
+    std::string reason = refusal ? refusal->detail : "a slot was free";
+    m_decisions.note(call.context.requestId, "place",
+                     {{"team", call.context.team},
+                      {"class", std::string(toString(call.context.priority))},
+                      {"route", call.route},
+                      {"depth", fmt::to_string(call.context.depth)},
+                      {"outcome", outcome},
+                      {"limit", fmt::to_string(message.load.limit)},
+                      {"in_flight", fmt::to_string(message.load.inFlight)},
+                      {"path_fraction", fmt::format("{:.3f}", message.load.pathFraction)},
+                      {"reason", reason}});
+    message.result = std::move(result);
+    return message;
+}
+
+void TargetService::apply(const std::vector<AdmissionEffect> &effects)
+{
+    for (const AdmissionEffect &effect : effects) {
+        Ticket ticket = std::visit([](const auto &e) { return e.ticket; }, effect);
+        auto found = m_waiters.find(ticket);
+        if (found == m_waiters.end())
+            continue;
+        found->second.verdict = effect;
+        found->second.timer.cancel();
+    }
+}
+
+Task<void> TargetService::expireWaiting()
+{
+    for (;;) {
+        co_await sleepFor(expiryInterval);
+        apply(m_admission.tick(steadyNow()));
+    }
+}
+
+Task<bool> TargetService::isBackendReady()
+{
+    HttpRequest request {"GET", "/health", {}, {}};
+    CallResult result = co_await m_backend.exchange(request, healthLimit);
+    if (const Refusal *refusal = std::get_if<Refusal>(&result))
+        co_return refusal->kind != ErrorKind::ConnectFailed;
+    co_return std::get<HttpAnswer>(result).body.find("\"draining\"") == std::string::npos;
+}
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/transport/target_service.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "asio.h"
+#include "http_client.h"
+#include "node_state.h"
+
+#include "ibiswell/decisions/call_table.h"
+#include "ibiswell/decisions/policy_store.h"
+#include "ibiswell/decisions/target_admission.h"
+#include "ibiswell/kernel/kernel.h"
+#include "ibiswell/transport/decision_log.h"
+
+#include <unordered_map>
+
+namespace ibiswell {
+
+/** Runs calls at the local backend server, as the admission decides. */
+class TargetService
+{
+public:
+    /** Looks up "node", "policy", "admission", "calls" and "decisions". */
+    TargetService(Kernel &kernel, asio::io_context &context);
+
+    /** Runs one call to its end. When cancelled, the work at the backend server is cancelled. */
+    Task<AnswerMessage> run(CallMessage call);
+
+    /** Refuses calls whose deadline passed while they waited; runs until the node stops. */
+    Task<void> expireWaiting();
+
+    /** Asks the backend server whether it takes work. */
+    Task<bool> isBackendReady();
+
+    int inFlight() const { return m_admission.inFlight(); }
+
+private:
+    struct Waiter
+    {
+        asio::steady_timer timer;
+        std::optional<AdmissionEffect> verdict;
+    };
+    class SlotGuard;
+
+    std::optional<Refusal> refuseEarly(const CallMessage &call) const;
+    Task<std::optional<Refusal>> awaitSlot(Ticket ticket);
+    Task<CallResult> work(CallMessage &call, SlotGuard &slot, CallTable::Ended &ended);
+    HttpRequest backendRequest(CallMessage &call, const std::string &token) const;
+    AnswerMessage answer(const CallMessage &call, CallResult result,
+                         const CallTable::Ended &ended) const;
+    void apply(const std::vector<AdmissionEffect> &effects);
+
+    asio::io_context &m_context;
+    NodeState &m_node;
+    PolicyStore &m_policy;
+    TargetAdmission &m_admission;
+    CallTable &m_calls;
+    DecisionLog &m_decisions;
+    HttpClient m_backend;
+    std::unordered_map<Ticket, Waiter> m_waiters;
+};
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/wire/codec.cpp
@@ -0,0 +1,438 @@
+#include "ibiswell/wire/codec.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/variant.hpp>
+
+#include <chrono>
+#include <sstream>
+#include <streambuf>
+
+namespace cereal {
+
+namespace {
+constexpr std::uint32_t maximumElements = 1u << 20;
+constexpr std::size_t readChunkBytes = 64u << 10;
+} // namespace
+
+template<class Archive>
+void save(Archive &archive, const std::string &text)
+{
+    archive(static_cast<std::uint32_t>(text.size()));
+    archive(binary_data(text.data(), text.size()));
+}
+
+/** Reads in chunks: a false length ends at the end of the input after at most one chunk. */
+template<class Archive>
+void load(Archive &archive, std::string &text)
+{
+    std::uint32_t left = 0;
+    archive(left);
+    text.clear();
+    while (left > 0) {
+        std::size_t chunk = std::min<std::size_t>(left, readChunkBytes);
+        std::size_t start = text.size();
+        text.resize(start + chunk);
+        archive(binary_data(text.data() + start, chunk));
+        left -= static_cast<std::uint32_t>(chunk);
+    }
+}
+
+template<class Archive>
+void save(Archive &archive, const ibiswell::Duration &duration)
+{
+    archive(static_cast<std::int64_t>(duration.count()));
+}
+
+template<class Archive>
+void load(Archive &archive, ibiswell::Duration &duration)
+{
+    std::int64_t count = 0;
+    archive(count);
+    duration = ibiswell::Duration(count);
+}
+
+/**
+ * Sequences are read element by element: a false length then ends at the end of the input, in
+ * place of an allocation of that length.
+ */
+template<class Archive, class T>
+void save(Archive &archive, const std::vector<T> &values)
+{
+    archive(static_cast<std::uint32_t>(values.size()));
+    for (const T &value : values)
+        archive(value);
+}
+
+template<class Archive, class T>
+void load(Archive &archive, std::vector<T> &values)
+{
+    std::uint32_t count = 0;
+    archive(count);
+    if (count > maximumElements)
+        throw Exception("sequence too long");
+    values.clear();
+    for (std::uint32_t i = 0; i < count; ++i)
+        archive(values.emplace_back());
+}
+
+template<class Archive>
+void save(Archive &archive, const std::monostate &)
+{
+    archive(std::uint8_t {0});
+}
+
+template<class Archive>
+void load(Archive &archive, std::monostate &)
+{
+    std::uint8_t ignored = 0;
+    archive(ignored);
+}
+
+} // namespace cereal
+
+namespace ibiswell {
+
+template<class A>
+void serialize(A &a, Endpoint &m)
+{
+    a(m.address, m.port);
+}
+
+template<class A>
+void serialize(A &a, Member &m)
+{
+    a(m.node, m.service, m.zone, m.endpoint, m.httpPort, m.incarnation, m.state, m.leases);
+}
+
+template<class A>
+void serialize(A &a, HeaderField &m)
+{
+    a(m.name, m.value);
+}
+
+template<class A>
+void serialize(A &a, HttpRequest &m)
+{
+    a(m.method, m.path, m.headers, m.body);
+}
+
+template<class A>
+void serialize(A &a, HttpAnswer &m)
+{
+    a(m.status, m.headers, m.body);
+}
+
+template<class A>
+void serialize(A &a, Refusal &m)
+{
+    a(m.kind, m.detail, m.execution);
+}
+
+template<class A>
+void serialize(A &a, CallContext &m)
+{
+    a(m.requestId, m.team, m.priority, m.admissionDraw, m.admittedFraction, m.timeLeft, m.depth,
+      m.attempt, m.retriesLeft);
+}
+
+template<class A>
+void serialize(A &a, LoadReport &m)
+{
+    a(m.pathFraction, m.inFlight, m.queued, m.limit, m.serviceTime);
+}
+
+template<class A>
+void serialize(A &a, CallMessage &m)
+{
+    a(m.callId, m.service, m.route, m.context, m.request);
+}
+
+template<class A>
+void serialize(A &a, AnswerMessage &m)
+{
+    a(m.callId, m.result, m.load, m.retriesLeft);
+}
+
+template<class A>
+void serialize(A &a, WorkingMessage &m)
+{
+    a(m.callId);
+}
+
+template<class A>
+void serialize(A &, RosterRequest &)
+{
+}
+
+template<class A>
+void serialize(A &a, RosterAnswer &m)
+{
+    a(m.members);
+}
+
+template<class A>
+void serialize(A &a, PolicyPull &m)
+{
+    a(m.haveVersion);
+}
+
+template<class A>
+void serialize(A &a, PolicyEdit &m)
+{
+    a(m.entry, m.json);
+}
+
+template<class A>
+void serialize(A &a, PolicyDelta &m)
+{
+    a(m.from, m.to, m.edits);
+}
+
+/** An entry of a PolicyDocument, which is sent as a sequence of its entries. */
+template<class A>
+void save(A &a, const PolicyDocument &m)
+{
+    std::vector<HeaderField> entries;
+    for (const auto &[name, text] : m.entries)
+        entries.push_back({name, text});
+    a(m.version, entries);
+}
+
+template<class A>
+void load(A &a, PolicyDocument &m)
+{
+    std::vector<HeaderField> entries;
+    a(m.version, entries);
+    m.entries.clear();
+    for (HeaderField &entry : entries)
+        m.entries[entry.name] = std::move(entry.value);
+}
+
+template<class A>
+void serialize(A &a, PolicyAnswer &m)
+{
+    a(m.news);
+}
+
+template<class A>
+void serialize(A &a, KeyClaim &m)
+{
+    a(m.team, m.key, m.firstAttempt);
+}
+
+template<class A>
+void serialize(A &, KeyGranted &)
+{
+}
+
+template<class A>
+void serialize(A &a, KeyDone &m)
+{
+    a(m.answer);
+}
+
+template<class A>
+void serialize(A &a, KeyClaimAnswer &m)
+{
+    a(m.verdict);
+}
+
+template<class A>
+void serialize(A &a, KeySettled &m)
+{
+    a(m.team, m.key, m.result);
+}
+
+template<class A>
+void serialize(A &, KeySettledAnswer &)
+{
+}
+
+template<class A>
+void serialize(A &a, Probe &m)
+{
+    a(m.sequence);
+}
+
+template<class A>
+void serialize(A &a, ProbeAck &m)
+{
+    a(m.sequence);
+}
+
+template<class A>
+void serialize(A &a, ProbeRequest &m)
+{
+    a(m.sequence, m.node, m.endpoint);
+}
+
+template<class A>
+void serialize(A &, PolicyNews &)
+{
+}
+
+template<class A>
+void serialize(A &, MemberNews &)
+{
+}
+
+template<class A>
+void serialize(A &a, TokenAmount &m)
+{
+    a(m.team, m.tokens);
+}
+
+template<class A>
+void serialize(A &a, TokenAsk &m)
+{
+    a(m.sequence, m.share, m.wanted);
+}
+
+template<class A>
+void serialize(A &a, TokenGrant &m)
+{
+    a(m.sequence, m.share, m.granted, m.validFor);
+}
+
+template<class A>
+void serialize(A &a, Datagram &m)
+{
+    a(m.sender, m.senderEndpoint, m.policyVersion, m.updates, m.body);
+}
+
+namespace {
+
+/** Reads from a text that it does not copy. */
+class ViewBuffer : public std::streambuf
+{
+public:
+    explicit ViewBuffer(std::string_view bytes)
+    {
+        char *begin = const_cast<char *>(bytes.data());
+        setg(begin, begin, begin + bytes.size());
+    }
+    bool isAtEnd() const { return gptr() == egptr(); }
+};
+
+template<class Message>
+std::string encodeMessage(const Message &message)
+{
+    std::ostringstream stream;
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(message);
+    return std::move(stream).str();
+}
+
+template<class Message>
+std::optional<Message> decodeMessage(std::string_view bytes, Error &error)
+{
+    ViewBuffer buffer(bytes);
+    std::istream stream(&buffer);
+    try {
+        cereal::PortableBinaryInputArchive archive(stream);
+        Message message;
+        archive(message);
+        if (buffer.isAtEnd())
+            return message;
+        error = {ErrorKind::MalformedMessage, "bytes behind the end of the message"};
+    } catch (const std::exception &failure) {
+        error = {ErrorKind::MalformedMessage, failure.what()};
+    }
+    return std::nullopt;
+}
+
+/** Checks what the type system does not: enumerations and numbers from another process. */
+struct RangeCheck
+{
+    bool fraction(double value) const { return value >= 0 && value <= 1; }
+
+    bool operator()(const CallMessage &m) const
+    {
+        return fraction(m.context.admissionDraw) && m.context.admittedFraction > 0
+            && fraction(m.context.admittedFraction)
+            && static_cast<std::size_t>(m.context.priority) < priorityClassCount;
+    }
+    bool operator()(const Refusal &m) const
+    {
+        return static_cast<std::size_t>(m.kind) < errorTable().size()
+            && m.execution <= Execution::Run;
+    }
+    bool operator()(const CallResult &result) const
+    {
+        const Refusal *refusal = std::get_if<Refusal>(&result);
+        return !refusal || (*this)(*refusal);
+    }
+    bool operator()(const AnswerMessage &m) const
+    {
+        return (*this)(m.result) && fraction(m.load.pathFraction);
+    }
+    bool operator()(const KeyClaimAnswer &m) const
+    {
+        const Refusal *refusal = std::get_if<Refusal>(&m.verdict);
+        return !refusal || (*this)(*refusal);
+    }
+    bool operator()(const KeySettled &m) const { return (*this)(m.result); }
+    bool operator()(const RosterAnswer &m) const { return members(m.members); }
+    bool operator()(const TokenAsk &m) const { return amounts(m.wanted); }
+    bool operator()(const TokenGrant &m) const { return amounts(m.granted); }
+    template<class Other>
+    bool operator()(const Other &) const
+    {
+        return true;
+    }
+
+    bool members(const std::vector<Member> &members) const
+    {
+        for (const Member &member : members) {
+            if (member.state > MemberState::Dead)
+                return false;
+        }
+        return true;
+    }
+
+private:
+    bool amounts(const std::vector<TokenAmount> &amounts) const
+    {
+        for (const TokenAmount &amount : amounts) {
+            if (!(amount.tokens >= 0 && amount.tokens <= 1e9))
+                return false;
+        }
+        return true;
+    }
+};
+
+} // namespace
+
+std::string encode(const PeerMessage &message)
+{
+    return encodeMessage(message);
+}
+
+std::string encode(const Datagram &datagram)
+{
+    return encodeMessage(datagram);
+}
+
+std::optional<PeerMessage> decodePeerMessage(std::string_view bytes, Error &error)
+{
+    auto message = decodeMessage<PeerMessage>(bytes, error);
+    if (message && !std::visit(RangeCheck {}, *message)) {
+        error = {ErrorKind::MalformedMessage, "a value is out of range"};
+        return std::nullopt;
+    }
+    return message;
+}
+
+std::optional<Datagram> decodeDatagram(std::string_view bytes, Error &error)
+{
+    auto datagram = decodeMessage<Datagram>(bytes, error);
+    RangeCheck check;
+    if (datagram && !(check.members(datagram->updates) && std::visit(check, datagram->body))) {
+        error = {ErrorKind::MalformedMessage, "a value is out of range"};
+        return std::nullopt;
+    }
+    return datagram;
+}
+
+} // namespace ibiswell
