--- /dev/null
+++ b/tests/standins/backend_standin.cpp
@@ -0,0 +1,244 @@
+/**
+ * Stand-in for a backend server, for tests and the example.
+ *
+ * Any path does a piece of work: it takes a slot, lasts the service time, calls the services
+ * given by --call through the local node, and answers with JSON that names the request.
+ *
+ * GET /health        {"state": ...}; POST /control sets what it says, truly or not
+ * GET /observed      what the server saw: executions, cancellations, header names, overloads
+ * POST /control      {"health", "shed", "cold", "slow_ms"}
+ */
+
+#include "http_client.h"
+#include "http_server.h"
+
+#include "ibiswell/policy/object_reader.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/program_options.hpp>
+#include <fmt/format.h>
+
+#include <charconv>
+#include <csignal>
+#include <iostream>
+#include <map>
+#include <set>
+
+namespace ibiswell {
+
+namespace {
+
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+struct BackendOptions
+{
+    std::string name = "backend";
+    std::uint16_t port = 0;
+    int slots = 8;
+    int connections = 64;
+    int serviceMs = 5;
+    int coldWork = 0; ///< Pieces of work until it is warm.
+    int coldSlots = 4; ///< What it bears while cold.
+    std::uint16_t nodePort = 0;
+    std::vector<std::string> calls; ///< "METHOD /service/path" of each call below.
+};
+
+std::size_t numberAfter(std::string_view text, std::string_view name)
+{
+    std::size_t at = text.find(name);
+    std::size_t number = 0;
+    if (at != std::string_view::npos)
+        std::from_chars(text.data() + at + name.size(), text.data() + text.size(), number);
+    return number;
+}
+
+class Backend
+{
+public:
+    Backend(asio::io_context &context, BackendOptions options)
+        : m_context(context)
+        , m_options(std::move(options))
+        , m_node({"127.0.0.1", m_options.nodePort})
+        , m_coldLeft(m_options.coldWork)
+        , m_freed(context, std::chrono::steady_clock::time_point::max())
+    {
+    }
+
+    Task<HttpAnswer> handle(HttpRequest request)
+    {
+        if (request.path == "/health")
+            co_return HttpAnswer {200, {}, fmt::format("{{\"state\":\"{}\"}}", m_health)};
+        if (request.path == "/observed")
+            co_return observed();
+        if (request.path == "/control")
+            co_return control(request.body);
+        co_return co_await work(std::move(request));
+    }
+
+private:
+    /** Counts a piece of work that its caller cancelled. */
+    struct WorkGuard
+    {
+        Backend &backend;
+        bool done = false;
+        bool running = false;
+        ~WorkGuard()
+        {
+            --backend.m_inFlight;
+            backend.m_running -= running ? 1 : 0;
+            backend.m_cancelled += done ? 0 : 1;
+            backend.m_freed.cancel();
+        }
+    };
+
+    int slots() const { return m_coldLeft > 0 ? m_options.coldSlots : m_options.slots; }
+
+    Task<HttpAnswer> work(HttpRequest request)
+    {
+        std::string requestId {request.header("x-request-id")};
+        for (const HeaderField &field : request.headers)
+            m_headerNames.insert(field.name);
+        int bears = m_coldLeft > 0 ? m_options.coldSlots : m_options.connections;
+        if (m_shed || m_inFlight >= bears) {
+            m_overloads += m_coldLeft > 0 ? 1 : 0;
+            co_return HttpAnswer {503, {}, "shed\n"};
+        }
+        ++m_inFlight;
+        WorkGuard guard {*this};
+        ++m_executions[requestId];
+        while (m_inFlight > slots() && m_running >= slots()) {
+            auto freed = m_freed.async_wait(asResult);
+            co_await withTimeout(std::move(freed), 50ms);
+        }
+        ++m_running;
+        guard.running = true;
+        co_await sleepFor(std::chrono::milliseconds(m_options.serviceMs) + m_slow);
+        json::array below;
+        bool belowFailed = false;
+        std::string token {request.header("x-ibiswell-call")};
+        for (const std::string &call : m_options.calls) {
+            int status = co_await callBelow(call, token);
+            below.emplace_back(fmt::format("{} {}", status, call));
+            belowFailed = belowFailed || status >= 500;
+        }
+        m_coldLeft -= m_coldLeft > 0 ? 1 : 0;
+        guard.done = true;
+        json::object body {{"server", m_options.name},
+                           {"request", requestId},
+                           {"team", std::string(request.header("x-ibiswell-team"))},
+                           {"path", request.path},
+                           {"below", below}};
+        HttpAnswer answer {belowFailed ? 502 : 200,
+                           {{"content-type", "application/json"}},
+                           json::serialize(body) + "\n"};
+        std::size_t bytes = numberAfter(request.path, "bytes=");
+        while (answer.body.size() < bytes)
+            answer.body += requestId + "\n";
+        co_return answer;
+    }
+
+    Task<int> callBelow(std::string call, std::string token)
+    {
+        std::size_t space = call.find(' ');
+        HttpRequest request {call.substr(0, space),
+                             call.substr(space + 1),
+                             {{"x-ibiswell-call", token}},
+                             ""};
+        CallResult result = co_await m_node.exchange(std::move(request), 10s);
+        const HttpAnswer *answer = std::get_if<HttpAnswer>(&result);
+        co_return answer ? answer->status : 502;
+    }
+
+    HttpAnswer control(const std::string &body)
+    {
+        Error error;
+        auto value = parseJson(body, ErrorKind::BadRequest, error);
+        if (!value)
+            return {400, {}, error.detail};
+        FaultList faults;
+        bool cold = false;
+        ObjectReader reader(*value, "", faults);
+        reader.text("health", m_health);
+        reader.boolean("shed", m_shed);
+        reader.boolean("cold", cold);
+        reader.milliseconds("slow_ms", {0, 60'000}, m_slow);
+        reader.finish();
+        if (cold)
+            m_coldLeft = m_options.coldWork;
+        return {faults.isEmpty() ? 200 : 400, {}, faults.text()};
+    }
+
+    HttpAnswer observed() const
+    {
+        json::object executions;
+        for (const auto &[id, count] : m_executions)
+            executions[id] = count;
+        json::array names;
+        for (const std::string &name : m_headerNames)
+            names.emplace_back(name);
+        json::object object {{"executions", executions},
+                             {"cancelled", m_cancelled},
+                             {"header_names", names},
+                             {"overloads_while_cold", m_overloads}};
+        return {200, {}, json::serialize(object) + "\n"};
+    }
+
+    asio::io_context &m_context;
+    BackendOptions m_options;
+    HttpClient m_node;
+    std::string m_health = "ok";
+    bool m_shed = false;
+    Duration m_slow {};
+    int m_coldLeft = 0;
+    int m_inFlight = 0;
+    int m_running = 0;
+    std::uint64_t m_cancelled = 0;
+    std::uint64_t m_overloads = 0;
+    std::map<std::string, int> m_executions;
+    std::set<std::string> m_headerNames;
+    asio::steady_timer m_freed;
+};
+
+} // namespace
+
+} // namespace ibiswell
+
+int main(int argc, char **argv)
+{
+    using namespace ibiswell;
+    namespace po = boost::program_options;
+    BackendOptions given;
+    po::options_description options("Usage: backend_standin --port PORT [options]");
+    options.add_options()("help", "print this text and exit")(
+        "port", po::value(&given.port), "port on loopback")(
+        "name", po::value(&given.name), "name in the answers")(
+        "slots", po::value(&given.slots), "pieces of work at once")(
+        "connections", po::value(&given.connections), "pieces of work held before it sheds")(
+        "service-ms", po::value(&given.serviceMs), "length of a piece of work")(
+        "cold-work", po::value(&given.coldWork), "pieces of work until it is warm")(
+        "cold-slots", po::value(&given.coldSlots), "what it bears while cold")(
+        "node-port", po::value(&given.nodePort), "HTTP port of the local node")(
+        "call", po::value(&given.calls), "\"METHOD /service/path\" to call for each request");
+    po::variables_map read;
+    po::store(po::parse_command_line(argc, argv, options), read);
+    po::notify(read);
+    if (read.count("help") != 0) {
+        std::cout << options;
+        return 0;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    asio::io_context context;
+    std::uint16_t port = given.port;
+    Backend backend(context, std::move(given));
+    HttpServer server(context, HttpServerLimits {},
+                      [&](HttpRequest request) { return backend.handle(std::move(request)); });
+    if (!server.listen({"127.0.0.1", port})) {
+        fmt::print(stderr, "{}\n", server.lastError()->detail);
+        return 1;
+    }
+    context.run();
+    return 0;
+}
--- /dev/null
+++ b/tests/standins/platform_standin.cpp
@@ -0,0 +1,191 @@
+/**
+ * Stand-in for the platform's object API, for tests and the example.
+ *
+ * GET /objects/NAME                    the object, its version in the ETag; 404 when missing
+ * PUT /objects/NAME?if_version=N       conditional write; 409 when the version differs
+ * GET /watch/NAME?after=N&wait_ms=T    the object as soon as its version is above N
+ * GET /counters                        calls by kind
+ * POST /faults                         {"down", "slow_ms", "lose_answers"}
+ */
+
+#include "http_server.h"
+
+#include "ibiswell/policy/object_reader.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/program_options.hpp>
+#include <fmt/format.h>
+
+#include <charconv>
+#include <csignal>
+#include <map>
+
+namespace ibiswell {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t largestValue = 1u << 20; // bytes
+constexpr Duration lostAnswerDelay = 5s; // longer than clients wait
+
+struct Faults
+{
+    bool down = false;
+    Duration slow {};
+    int loseAnswers = 0; ///< Writes that take effect and whose answer never comes.
+};
+
+struct Object
+{
+    std::uint64_t version = 0;
+    std::string value;
+};
+
+std::uint64_t numberAfter(std::string_view text, std::string_view name)
+{
+    std::size_t at = text.find(name);
+    std::uint64_t number = 0;
+    if (at != std::string_view::npos)
+        std::from_chars(text.data() + at + name.size(), text.data() + text.size(), number);
+    return number;
+}
+
+std::string nameIn(std::string_view path, std::string_view prefix)
+{
+    std::string_view rest = path.substr(prefix.size());
+    return std::string(rest.substr(0, rest.find('?')));
+}
+
+class Platform
+{
+public:
+    explicit Platform(asio::io_context &context)
+        : m_changed(context, std::chrono::steady_clock::time_point::max())
+    {
+    }
+
+    Task<HttpAnswer> handle(HttpRequest request)
+    {
+        if (request.path == "/counters")
+            co_return counters();
+        if (request.path == "/faults")
+            co_return setFaults(request.body);
+        ++m_calls[request.path.starts_with("/watch/") ? "watch" : request.method];
+        if (m_faults.slow > Duration::zero())
+            co_await sleepFor(m_faults.slow);
+        if (m_faults.down)
+            co_return HttpAnswer {503, {}, "down\n"};
+        if (request.path.starts_with("/watch/"))
+            co_return co_await watch(std::move(request));
+        if (request.method == "PUT")
+            co_return co_await put(std::move(request));
+        co_return get(nameIn(request.path, "/objects/"));
+    }
+
+private:
+    static HttpAnswer answerOf(const Object &object)
+    {
+        return {200, {{"ETag", fmt::format("\"{}\"", object.version)}}, object.value};
+    }
+
+    HttpAnswer get(const std::string &name) const
+    {
+        auto found = m_objects.find(name);
+        return found == m_objects.end() ? HttpAnswer {404, {}, ""} : answerOf(found->second);
+    }
+
+    Task<HttpAnswer> put(HttpRequest request)
+    {
+        Object &object = m_objects[nameIn(request.path, "/objects/")];
+        if (object.version != numberAfter(request.path, "if_version="))
+            co_return HttpAnswer {409, {}, "conflict\n"};
+        if (request.body.size() > largestValue)
+            co_return HttpAnswer {413, {}, "a value is at most a megabyte\n"};
+        object.version += 1;
+        object.value = std::move(request.body);
+        HttpAnswer answer {200, {{"ETag", fmt::format("\"{}\"", object.version)}}, ""};
+        m_changed.cancel();
+        if (m_faults.loseAnswers > 0) {
+            --m_faults.loseAnswers;
+            co_await sleepFor(lostAnswerDelay);
+        }
+        co_return answer;
+    }
+
+    Task<HttpAnswer> watch(HttpRequest request)
+    {
+        std::string name = nameIn(request.path, "/watch/");
+        std::uint64_t after = numberAfter(request.path, "after=");
+        TimePoint until
+            = steadyNow() + std::chrono::milliseconds(numberAfter(request.path, "wait_ms="));
+        while (steadyNow() < until && !m_faults.down && versionOf(name) <= after) {
+            auto change = m_changed.async_wait(asResult);
+            co_await withTimeout(std::move(change), std::min<Duration>(100ms, until - steadyNow()));
+        }
+        co_return m_faults.down ? HttpAnswer {503, {}, "down\n"} : get(name);
+    }
+
+    std::uint64_t versionOf(const std::string &name) const
+    {
+        auto found = m_objects.find(name);
+        return found == m_objects.end() ? 0 : found->second.version;
+    }
+
+    HttpAnswer setFaults(const std::string &body)
+    {
+        Error error;
+        auto value = parseJson(body, ErrorKind::BadRequest, error);
+        if (!value)
+            return {400, {}, error.detail};
+        FaultList faults;
+        ObjectReader reader(*value, "", faults);
+        reader.boolean("down", m_faults.down);
+        reader.milliseconds("slow_ms", {0, 60'000}, m_faults.slow);
+        reader.integer("lose_answers", {0, 1000}, m_faults.loseAnswers);
+        reader.finish();
+        return {faults.isEmpty() ? 200 : 400, {}, faults.text()};
+    }
+
+    HttpAnswer counters() const
+    {
+        boost::json::object object;
+        for (const auto &[kind, count] : m_calls)
+            object[kind] = count;
+        return {200, {}, boost::json::serialize(object)};
+    }
+
+    std::map<std::string, Object> m_objects;
+    std::map<std::string, std::uint64_t> m_calls;
+    Faults m_faults;
+    asio::steady_timer m_changed;
+};
+
+} // namespace
+
+} // namespace ibiswell
+
+int main(int argc, char **argv)
+{
+    using namespace ibiswell;
+    namespace po = boost::program_options;
+    std::uint16_t port = 0;
+    po::options_description options("Usage: platform_standin --port PORT");
+    options.add_options()("port", po::value(&port)->required(), "port on loopback");
+    po::variables_map given;
+    po::store(po::parse_command_line(argc, argv, options), given);
+    po::notify(given);
+    std::signal(SIGPIPE, SIG_IGN);
+    asio::io_context context;
+    Platform platform(context);
+    HttpServerLimits limits;
+    HttpServer server(context, limits,
+                      [&](HttpRequest request) { return platform.handle(std::move(request)); });
+    if (!server.listen({"127.0.0.1", port})) {
+        fmt::print(stderr, "{}\n", server.lastError()->detail);
+        return 1;
+    }
+    context.run();
+    return 0;
+}
