Add the load model, and mend the admission by its traces

The traces showed five causes. 1. Own time alone hid the slot queue of servers that wait for calls below. 3. The floor fraction of 0.01 let a starved class take slots from orders, and one call at the floor stood for 500. 4. The path table mixed classes on shared routes below, so that normal traffic closed the path for orders. 5. The gain could fall so far that orders were cut at half load. Ruled out: demand as admitted rate divided by the target's own fraction (the callers lag, so the estimate runs away); a faster gain (oscillates with the call tree's delay). Change: base times from samples at low concurrency; congestion as time held against base plus time waited below; fractions that move by bounded steps and open when slots lie idle; path fractions by route, team and class, kept also at the first target's node; a restart to an eighth of the limit.

--- /dev/null
+++ b/benchmark/load_figures.cpp
@@ -0,0 +1,197 @@
+/** Prints the table of figures: ibiswell beside the baselines, in virtual time, fixed seeds. */
+
+#include "fleet_model.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <cstring>
+
+using namespace ibiswell;
+using namespace ibiswell::model;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration runLength = 14s;
+constexpr Duration measureFrom = 4s;
+
+Figures steady(const Deployment &deployment, Control control, Retries retries, double multiple)
+{
+    Scenario scenario;
+    scenario.control = control;
+    scenario.retries = retries;
+    scenario.load = {{0s, 0.5}, {1s, multiple}};
+    scenario.length = runLength + 3s;
+    scenario.measureFrom = measureFrom;
+    scenario.measureUntil = runLength;
+    return FleetModel(deployment, scenario).run();
+}
+
+/** Goodput counts answers given from measureFrom to runLength. */
+double answersPerSecond(const Figures &figures)
+{
+    double sum = 0;
+    for (auto i = static_cast<std::size_t>(measureFrom / Figures::bucketLength);
+         i < static_cast<std::size_t>(runLength / Figures::bucketLength); ++i)
+        sum += static_cast<double>(figures.wholeByBucket[i]);
+    return sum / inSeconds(runLength - measureFrom);
+}
+
+void printSteady(const Deployment &deployment, const std::vector<Control> &controls)
+{
+    fmt::print("\n{}: capacity {:.0f} requests/s; goodput in whole answers/s\n", deployment.name,
+               deployment.capacity());
+    fmt::print("{:<16}{:>8}{:>8}{:>8}{:>8}{:>9}{:>12}{:>12}{:>10}\n", "control", "1x", "2x", "5x",
+               "10x", "10x/1x", "important%", "worst team", "wasted%");
+    for (Control control : controls) {
+        Retries retries = control == Control::Ibiswell ? Retries::CallTree
+                                                       : Retries::ThreeAtEachHop;
+        std::vector<double> goodput;
+        Figures last;
+        for (double multiple : {1.0, 2.0, 5.0, 10.0}) {
+            last = steady(deployment, control, retries, multiple);
+            goodput.push_back(answersPerSecond(last));
+        }
+        double important = 100.0 * static_cast<double>(last.importantWhole)
+            / static_cast<double>(std::max<std::uint64_t>(1, last.importantSent));
+        double wasted = 100 * last.wastedSlotSeconds
+            / std::max(1e-9, last.wastedSlotSeconds + last.usefulSlotSeconds);
+        fmt::print("{:<16}{:>8.1f}{:>8.1f}{:>8.1f}{:>8.1f}{:>9.3f}{:>12.2f}{:>12.3f}{:>10.1f}\n",
+                   toString(control), goodput[0], goodput[1], goodput[2], goodput[3],
+                   goodput[3] / goodput[0], important, last.worstTeamShare(), wasted);
+    }
+}
+
+/** Time from the end of a 10 s trigger until goodput is back at 95% of before. */
+void printRecovery(const Deployment &deployment, const std::vector<Control> &controls)
+{
+    fmt::print("\n{}: recovery after 10 s at ten times capacity, base load 0.7\n", deployment.name);
+    for (Control control : controls) {
+        Scenario scenario;
+        scenario.control = control;
+        scenario.retries = control == Control::Ibiswell ? Retries::CallTree
+                                                        : Retries::ThreeAtEachHop;
+        scenario.load = {{0s, 0.7}, {5s, 10}, {15s, 0.7}};
+        scenario.length = 45s;
+        Figures figures = FleetModel(deployment, scenario).run();
+        auto mean = [&](std::size_t from, std::size_t count) {
+            double sum = 0;
+            for (std::size_t i = from; i < from + count; ++i)
+                sum += static_cast<double>(figures.wholeByBucket[i]);
+            return sum / static_cast<double>(count);
+        };
+        double before = mean(20, 30);
+        std::size_t bucket = 150;
+        while (bucket + 10 < 450 && mean(bucket, 10) < 0.95 * before)
+            ++bucket;
+        if (bucket + 10 >= 450)
+            fmt::print("{:<16} not within 30 s\n", toString(control));
+        else
+            fmt::print("{:<16} {:.1f} s\n", toString(control),
+                       static_cast<double>(bucket - 150) / 10);
+    }
+}
+
+void printRetries(const Deployment &deployment)
+{
+    fmt::print("\n{}: retry policies with no other control, at 2x\n", deployment.name);
+    fmt::print("{:<20}{:>12}{:>16}\n", "retries", "goodput/s", "sends/request");
+    for (Retries retries : {Retries::Never, Retries::ThreeAtEachHop, Retries::NodeShare,
+                            Retries::CallTree}) {
+        Figures figures = steady(deployment, Control::None, retries, 2);
+        fmt::print("{:<20}{:>12.1f}{:>16.2f}\n", toString(retries), answersPerSecond(figures),
+                   static_cast<double>(figures.calls) / static_cast<double>(figures.sent));
+    }
+}
+
+void printZoneChange(const Deployment &deployment)
+{
+    Scenario scenario;
+    scenario.load = {{0s, 0.6}};
+    scenario.length = 24s;
+    scenario.measureFrom = 4s;
+    scenario.measureUntil = 20s;
+    scenario.zoneOutAt = 6s;
+    scenario.zoneInAt = 14s;
+    scenario.clientRetries = 0;
+    Figures figures = FleetModel(deployment, scenario).run();
+    double sent = static_cast<double>(figures.sent);
+    fmt::print("\n{}: a zone leaves at 6 s and returns at 14 s, load 0.6, no client retries\n",
+               deployment.name);
+    fmt::print("refused {:.3f}%  lost {}  work in the zone after 2 s: {}\n",
+               100 * static_cast<double>(figures.refused) / sent, figures.lost,
+               figures.workInZoneOut);
+}
+
+void printColdStart(const Deployment &deployment)
+{
+    fmt::print("\n{}: {} falls back into a cold start at 8 s, load 0.6\n", deployment.name,
+               deployment.services.back().name);
+    for (Control control : {Control::Ibiswell, Control::None, Control::StaticLimit}) {
+        Scenario scenario;
+        scenario.control = control;
+        scenario.load = {{0s, 0.6}};
+        scenario.length = 40s;
+        scenario.measureFrom = 4s;
+        scenario.measureUntil = 36s;
+        scenario.coldAt = 8s;
+        Figures figures = FleetModel(deployment, scenario).run();
+        fmt::print("{:<16} whole {:.2f}%  important whole {:.2f}%  starts beyond bearing {}\n",
+                   toString(control),
+                   100 * static_cast<double>(figures.whole) / static_cast<double>(figures.sent),
+                   100 * static_cast<double>(figures.importantWhole)
+                       / static_cast<double>(figures.importantSent),
+                   figures.overBearing);
+    }
+}
+
+} // namespace
+
+/** load_figures trace DEPLOYMENT MULTIPLE [cold]: the state of each service over time. */
+int printTrace(int argc, char **argv)
+{
+    std::string name = argc > 2 ? argv[2] : "guild";
+    Scenario scenario;
+    scenario.load = {{0s, 0.5}, {1s, argc > 3 ? std::atof(argv[3]) : 1}};
+    scenario.length = 20s;
+    scenario.traceInterval = 500ms;
+    scenario.measureFrom = measureFrom;
+    scenario.measureUntil = 16s;
+    if (argc > 4)
+        scenario.coldAt = 8s;
+    for (const Deployment &deployment : {guild(), tidewater(), sevenDeep()}) {
+        if (deployment.name != name)
+            continue;
+        Figures figures = FleetModel(deployment, scenario).run();
+        for (const auto &[refusal, count] : figures.refusals)
+            fmt::print("{:>10} {}\n", count, refusal);
+        for (const auto &[key, wanted] : figures.wantedByTeam)
+            fmt::print("{:<10} team {} wanted {:>8} served {:>8}\n",
+                       ibiswell::toString(key.first), key.second, wanted,
+                       figures.servedByTeam[key]);
+        fmt::print("{:>10} sent\n{:>10} whole\n", figures.sent, figures.whole);
+    }
+    return 0;
+}
+
+int main(int argc, char **argv)
+{
+    if (argc > 1 && std::strcmp(argv[1], "trace") == 0)
+        return printTrace(argc, argv);
+    bool quick = argc > 1 && std::strcmp(argv[1], "--quick") == 0;
+    std::vector<Control> controls {Control::Ibiswell};
+    if (!quick)
+        controls = {Control::Ibiswell, Control::None, Control::StaticLimit, Control::Aimd,
+                    Control::Codel};
+    for (const Deployment &deployment : {guild(), tidewater(), sevenDeep()}) {
+        printSteady(deployment, controls);
+        printRecovery(deployment, controls);
+        if (!quick)
+            printRetries(deployment);
+        printZoneChange(deployment);
+        printColdStart(deployment);
+    }
+    return 0;
+}
--- a/include/ibiswell/decisions/concurrency_limit.h
+++ b/include/ibiswell/decisions/concurrency_limit.h
@@ -16,8 +16,8 @@
 struct WorkSample
 {
     std::string_view route;
-    /** Time at the backend server, less the time spent waiting for calls below. */
-    Duration ownTime {};
+    Duration slotTime {}; ///< From start to end at the backend server.
+    Duration waitedBelow {}; ///< Part of it in which a call below was under way.
     WorkOutcome outcome = WorkOutcome::Completed;
     int inFlightAtStart = 0;
 };
@@ -25,16 +25,18 @@
 /**
  * Learns how many calls a backend server bears at once.
  *
- * The limit opens by completed work and never by time alone: it starts at minimumLimit and
- * doubles with each window of completions whose own time stays near the time seen at low
- * concurrency. Beyond the knee it is cut in proportion. Most of a few recent answers turning slow
+ * The limit opens by completed work and never by time alone: it starts at initialLimit and
+ * doubles with each window of completions that hold their slots hardly longer than they would at
+ * low concurrency; time spent waiting for calls below is not held against the backend server.
+ * Beyond the knee the limit is cut in proportion. Most of a few recent answers turning slow
  * or shed at once means that the backend server fell back into a cold start: the limit returns to
- * minimumLimit and everything is learned anew.
+ * a small one and everything is learned anew.
  */
 class ConcurrencyLimit
 {
 public:
-    static constexpr int minimumLimit = 4;
+    static constexpr int minimumLimit = 1;
+    static constexpr int initialLimit = 4;
     static constexpr int maximumLimit = 4096;
 
     int limit() const { return m_limit; }
@@ -55,24 +57,22 @@
     {
         double base = 0; ///< Seconds.
         int samples = 0;
-        double windowSum = 0; ///< Seconds.
-        int windowCount = 0;
     };
 
     bool noteRecent(bool bad);
     int windowLength() const;
     void closeWindow();
-    void updateBases(bool uncongested);
+    void learnBase(const WorkSample &sample, double own, RouteTimes &times) const;
     void adjust(double ratio);
 
-    int m_limit = minimumLimit;
+    int m_limit = initialLimit;
     bool m_warming = true;
     bool m_probing = false;
-    int m_limitBeforeProbe = minimumLimit;
+    int m_limitBeforeProbe = initialLimit;
     int m_windowsSinceProbe = 0;
     std::map<std::string, RouteTimes, std::less<>> m_routes;
-    double m_windowOwn = 0; ///< Seconds.
-    double m_windowBase = 0; ///< Seconds.
+    double m_windowHeld = 0; ///< Seconds that slots were held.
+    double m_windowExpected = 0; ///< Seconds that they would be held at low concurrency.
     int m_windowCount = 0;
     int m_windowBusy = 0;
     int m_windowShed = 0;
--- a/include/ibiswell/decisions/demand_shares.h
+++ b/include/ibiswell/decisions/demand_shares.h
@@ -54,7 +54,7 @@
     using Teams = std::map<std::string, Demand, std::less<>>;
 
     static double rate(const Demand &demand, TimePoint now);
-    double allocate(Teams &teams, double capacity, TimePoint now);
+    double allocate(Teams &teams, double capacity, TimePoint now, bool isIdle);
     void correctGain(const TargetOccupancy &occupancy);
     void forgetIdle(TimePoint now);
 
--- a/include/ibiswell/decisions/path_table.h
+++ b/include/ibiswell/decisions/path_table.h
@@ -1,29 +1,43 @@
 #pragma once
 
+#include "ibiswell/core/request.h"
 #include "ibiswell/core/time.h"
 
+#include <compare>
 #include <cstddef>
 #include <map>
 #include <string>
-#include <utility>
 
 namespace ibiswell {
 
+/** Whose requests a fraction applies to. */
+struct PathKey
+{
+    std::string route;
+    std::string team;
+    PriorityClass priority = PriorityClass::Normal;
+
+    auto operator<=>(const PathKey &) const = default;
+};
+
+/** Name under which a target's node keeps what the calls below a route of its own take. */
+std::string pathBelow(const std::string &route);
+
 /**
  * What a node knows, from answers, of the part of each route's demand that the whole remaining
- * path takes. A node at the head of a call tree refuses by it before any work is done.
+ * path takes. A node at the head of a call tree refuses by it before any work is done, and so
+ * does the node of the first target, which sees the calls of all entry nodes.
  *
  * An entry that hears nothing opens again by itself, so that a silent path is tried anew.
  */
 class PathTable
 {
 public:
-    /** The fraction of this team's requests on @p route to let pass. */
-    double fraction(TimePoint now, const std::string &route, const std::string &team) const;
+    /** The fraction of these requests to let pass. */
+    double fraction(TimePoint now, const PathKey &key) const;
 
     /** Notes the path fraction that an answer carried. */
-    void onAnswer(TimePoint now, const std::string &route, const std::string &team,
-                  double pathFraction);
+    void onAnswer(TimePoint now, const PathKey &key, double pathFraction);
 
     /** Forgets entries that are fully open. */
     void tick(TimePoint now);
@@ -39,7 +53,7 @@
 
     static double opened(const Entry &entry, TimePoint now);
 
-    std::map<std::pair<std::string, std::string>, Entry, std::less<>> m_entries;
+    std::map<PathKey, Entry> m_entries;
 };
 
 } // namespace ibiswell
--- a/include/ibiswell/decisions/target_admission.h
+++ b/include/ibiswell/decisions/target_admission.h
@@ -20,6 +20,8 @@
     std::string route;
     CallContext context;
     double weight = 1; ///< Of the team.
+    /** What the calls below of this route and team are known to take, see PathTable. */
+    double fractionBelow = 1;
 };
 
 /** The call goes to the backend server now. */
@@ -75,6 +77,8 @@
 
     /** What goes back to a caller; pathFraction covers this target alone. */
     LoadReport report(PriorityClass priority, const std::string &team) const;
+    /** The fraction that an admitted call hands on to its calls below. */
+    double fractionHandedOn(const Arrival &arrival) const;
 
     int limit() const { return m_limit.limit(); }
     int inFlight() const { return static_cast<int>(m_running.size()); }
--- a/src/decisions/concurrency_limit.cpp
+++ b/src/decisions/concurrency_limit.cpp
@@ -8,17 +8,23 @@
 namespace {
 
 constexpr int samplesToLearnRoute = 8;
-constexpr int shortestWindow = 16;
+constexpr int shortestWindow = 6;
 constexpr int longestWindow = 64;
-constexpr double congestedRatio = 1.5; // own time against the time at low concurrency
+constexpr double congestedRatio = 1.25; // time held against the time at low concurrency
+constexpr int restartDivisor = 8; // of the limit, when a cold start is noticed
 constexpr double deepestCut = 0.7;
 constexpr double busyShare = 0.8; // of the limit, for a sample to count as busy
+constexpr double lowShare = 0.5; // of the limit, for a sample to tell the base time
+constexpr int fewCalls = 2; // at so low a limit each sample tells the base time
+constexpr double baseSmoothing = 0.02;
 constexpr int windowsBetweenProbes = 100;
-constexpr double probeShare = 0.6; // of the limit, while the base time is measured again
+constexpr double probeShare = 0.5; // of the limit, while the base time is measured again
 constexpr double coldRatio = 4; // own time against base that marks an answer as bad
 constexpr std::uint32_t recentMask = 0xff; // the last eight samples
 constexpr int badOfRecent = 6;
-constexpr double growthDivisor = 20;
+constexpr int growthDivisor = 20;
+constexpr double easyRatio = 1.1; // far from the knee: grow faster
+constexpr int easyGrowthDivisor = 4;
 
 } // namespace
 
@@ -31,7 +37,9 @@
 void ConcurrencyLimit::restart()
 {
     std::uint64_t restarts = m_restarts;
+    int limit = std::clamp(m_limit / restartDivisor, minimumLimit, initialLimit);
     *this = ConcurrencyLimit {};
+    m_limit = limit;
     m_restarts = restarts + 1;
 }
 
@@ -43,12 +51,12 @@
 
 int ConcurrencyLimit::windowLength() const
 {
-    return std::clamp(m_limit, shortestWindow, longestWindow);
+    return std::clamp(2 * m_limit, shortestWindow, longestWindow);
 }
 
 void ConcurrencyLimit::onSample(const WorkSample &sample)
 {
-    double own = inSeconds(sample.ownTime);
+    double own = inSeconds(sample.slotTime - sample.waitedBelow);
     auto found = m_routes.find(sample.route);
     if (found == m_routes.end())
         found = m_routes.emplace(std::string(sample.route), RouteTimes {}).first;
@@ -62,14 +70,10 @@
     }
     if (!completed) {
         ++m_windowShed;
-    } else if (!known) {
-        ++times.samples;
-        times.base += (own - times.base) / times.samples;
     } else {
-        times.windowSum += own;
-        ++times.windowCount;
-        m_windowOwn += own;
-        m_windowBase += times.base;
+        learnBase(sample, own, times);
+        m_windowHeld += inSeconds(sample.slotTime);
+        m_windowExpected += times.base + inSeconds(sample.waitedBelow);
     }
     ++m_windowCount;
     if (sample.inFlightAtStart >= busyShare * m_limit)
@@ -78,11 +82,21 @@
         closeWindow();
 }
 
+/** Only samples at low concurrency tell the base time; a busy server's own queue would raise it. */
+void ConcurrencyLimit::learnBase(const WorkSample &sample, double own, RouteTimes &times) const
+{
+    bool low = m_probing || m_limit <= fewCalls
+        || sample.inFlightAtStart <= lowShare * m_limit;
+    if (times.samples >= samplesToLearnRoute && !low)
+        return;
+    ++times.samples;
+    times.base += std::max(1.0 / times.samples, baseSmoothing) * (own - times.base);
+}
+
 void ConcurrencyLimit::closeWindow()
 {
-    double ratio = m_windowBase > 0 ? m_windowOwn / m_windowBase : 1;
+    double ratio = m_windowExpected > 0 ? m_windowHeld / m_windowExpected : 1;
     bool busy = 2 * m_windowBusy >= m_windowCount;
-    updateBases(m_probing || !busy);
     if (m_windowShed > 0)
         ratio = std::max(ratio, congestedRatio / deepestCut);
     if (m_probing) {
@@ -91,26 +105,10 @@
     } else if (ratio > congestedRatio || busy) {
         adjust(ratio);
     }
-    m_windowOwn = m_windowBase = 0;
+    m_windowHeld = m_windowExpected = 0;
     m_windowCount = m_windowBusy = m_windowShed = 0;
 }
 
-void ConcurrencyLimit::updateBases(bool uncongested)
-{
-    constexpr int fewestSamples = 8;
-    for (auto &[route, times] : m_routes) {
-        if (times.windowCount < fewestSamples)
-            continue;
-        double mean = times.windowSum / times.windowCount;
-        if (mean < times.base)
-            times.base += 0.3 * (mean - times.base);
-        else if (uncongested)
-            times.base += 0.1 * (mean - times.base);
-        times.windowSum = 0;
-        times.windowCount = 0;
-    }
-}
-
 void ConcurrencyLimit::adjust(double ratio)
 {
     if (ratio > congestedRatio) {
@@ -119,7 +117,8 @@
         m_limit = std::max(minimumLimit, static_cast<int>(m_limit * cut));
         return;
     }
-    int growth = m_warming ? m_limit : std::max(1, static_cast<int>(m_limit / growthDivisor));
+    int divisor = ratio < easyRatio ? easyGrowthDivisor : growthDivisor;
+    int growth = m_warming ? m_limit : std::max(1, m_limit / divisor);
     m_limit = std::min(maximumLimit, m_limit + growth);
     if (++m_windowsSinceProbe >= windowsBetweenProbes) {
         m_windowsSinceProbe = 0;
--- a/src/decisions/demand_shares.cpp
+++ b/src/decisions/demand_shares.cpp
@@ -14,10 +14,13 @@
 constexpr Duration refreshInterval = 20ms;
 constexpr Duration idleTeamForgotten = 30s;
 constexpr Duration longQueue = 15ms;
-constexpr double gainStep = 0.02;
-constexpr double smallestGain = 0.4;
+constexpr double steepestFall = 0.8; // of a fraction, in one refresh
+constexpr double steepestRise = 1.1;
+constexpr double gainStep = 0.005;
+constexpr double smallestGain = 0.7;
 constexpr double largestGain = 2.5;
 constexpr double gainRelaxation = 0.02; // towards 1, each refresh without shedding
+constexpr double muchIdleShare = 0.5; // of the limit
 constexpr double idleShare = 0.95; // of the limit; below it slots lie idle
 
 } // namespace
@@ -49,12 +52,15 @@
     forgetIdle(now);
     double capacity = occupancy.limit * m_gain;
     m_shedding = false;
+    // Slots that lie idle speak against the estimated demand, whatever its memory says.
+    bool isIdle = occupancy.inFlight < muchIdleShare * occupancy.limit
+        && occupancy.queueDelay == Duration::zero();
     for (Teams &teams : m_classes)
-        capacity -= allocate(teams, std::max(0.0, capacity), now);
+        capacity -= allocate(teams, std::max(0.0, capacity), now, isIdle);
 }
 
 /** Gives @p capacity (slots) to the teams of one class; returns what they take of it. */
-double DemandShares::allocate(Teams &teams, double capacity, TimePoint now)
+double DemandShares::allocate(Teams &teams, double capacity, TimePoint now, bool isIdle)
 {
     struct Claim
     {
@@ -74,8 +80,10 @@
     for (Claim &claim : claims) {
         double due = left * claim.demand->weight / weights;
         double given = std::min(claim.slots, due);
-        double fraction = claim.slots > 0 ? given / claim.slots : 1;
-        claim.demand->fraction = std::clamp(fraction, smallestFraction, 1.0);
+        double fraction = claim.slots > 0 && !isIdle ? given / claim.slots : 1;
+        double previous = claim.demand->fraction;
+        double stepped = std::clamp(fraction, previous * steepestFall, previous * steepestRise);
+        claim.demand->fraction = std::clamp(stepped, smallestFraction, 1.0);
         m_shedding = m_shedding || fraction < 1;
         left -= given;
         weights -= claim.demand->weight;
--- a/src/decisions/entry_admission.cpp
+++ b/src/decisions/entry_admission.cpp
@@ -142,7 +142,7 @@
     context.timeLeft = *deadline;
     context.retriesLeft = static_cast<std::uint8_t>(defaults.retriesPerCallTree);
     context.admissionDraw = uniform(random);
-    context.admittedFraction = m_paths.fraction(now, entered.route.name, context.team);
+    context.admittedFraction = m_paths.fraction(now, {entered.route.name, context.team, context.priority});
     if (context.admissionDraw >= context.admittedFraction)
         return Refusal {ErrorKind::PathOverloaded,
                         fmt::format("the path takes {:.3f} of this team's requests",
--- a/src/decisions/target_admission.cpp
+++ b/src/decisions/target_admission.cpp
@@ -64,6 +64,8 @@
         return refuse(ticket, ErrorKind::DeadlineTooShort);
     if (!isAdmitted(context, m_shares.fraction(context.priority, context.team)))
         return refuse(ticket, ErrorKind::TargetOverloaded);
+    if (!isAdmitted(context, arrival.fractionBelow))
+        return refuse(ticket, ErrorKind::PathOverloaded);
     WaitingCall call {ticket,        context.team,           context.priority, context.depth,
                       arrival.weight, now + context.timeLeft, slotTime};
     if (inFlight() < limit() && m_queue.size() == 0) {
@@ -114,7 +116,7 @@
     if (!end.abandoned) {
         if (end.outcome == WorkOutcome::Completed)
             noteSlotTime(call.route, end.slotTime);
-        m_limit.onSample({call.route, end.slotTime - end.waitedBelow, end.outcome,
+        m_limit.onSample({call.route, end.slotTime, end.waitedBelow, end.outcome,
                           call.inFlightAtStart});
     }
     startWaiting(now, effects);
@@ -157,6 +159,13 @@
     return effects;
 }
 
+double TargetAdmission::fractionHandedOn(const Arrival &arrival) const
+{
+    const CallContext &context = arrival.context;
+    return std::min({context.admittedFraction, arrival.fractionBelow,
+                     m_shares.fraction(context.priority, context.team)});
+}
+
 LoadReport TargetAdmission::report(PriorityClass priority, const std::string &team) const
 {
     LoadReport report;
--- a/src/transport/call_path.cpp
+++ b/src/transport/call_path.cpp
@@ -142,7 +142,8 @@
     const Refusal *refusal = std::get_if<Refusal>(&answer.result);
     bool failed = refusal && refusal->execution == Execution::Unknown;
     m_router.onAnswer(steadyNow(), choice.node, answer.load, failed);
-    m_paths.onAnswer(steadyNow(), attempt.entered.route.name, attempt.entered.context.team,
+    const CallContext &context = attempt.entered.context;
+    m_paths.onAnswer(steadyNow(), {attempt.entered.route.name, context.team, context.priority},
                      answer.load.pathFraction);
     attempt.pathFraction = std::min(attempt.pathFraction, answer.load.pathFraction);
     attempt.retriesLeft = static_cast<std::uint8_t>(attempt.retriesLeft + answer.retriesLeft);
--- a/src/transport/target_service.cpp
+++ b/src/transport/target_service.cpp
@@ -20,6 +20,11 @@
     return {kind, std::move(detail), Execution::NotRun};
 }
 
+PathKey keyBelow(const CallMessage &call)
+{
+    return {pathBelow(call.route), call.context.team, call.context.priority};
+}
+
 WorkOutcome outcomeOf(const CallResult &result)
 {
     const HttpAnswer *answer = std::get_if<HttpAnswer>(&result);
@@ -88,6 +93,7 @@
     , m_node(kernel.get<NodeState>("node"))
     , m_policy(kernel.get<PolicyStore>("policy"))
     , m_admission(kernel.get<TargetAdmission>("admission"))
+    , m_paths(kernel.get<PathTable>("paths"))
     , m_calls(kernel.get<CallTable>("calls"))
     , m_decisions(kernel.get<DecisionLog>("decisions"))
     , m_backend(m_node.settings.backend)
@@ -119,7 +125,9 @@
         co_return answer(call, *refusal, ended);
     TimePoint arrivedAt = steadyNow();
     double weight = m_policy.policy().team(call.context.team).weight;
-    Arrival arrival {call.route, call.context, weight};
+    Arrival arrival {call.route, call.context, weight,
+                     m_paths.fraction(arrivedAt, keyBelow(call))};
+    call.context.admittedFraction = m_admission.fractionHandedOn(arrival);
     std::vector<AdmissionEffect> effects = m_admission.arrive(arrivedAt, arrival);
     AdmissionEffect own = effects.front();
     effects.erase(effects.begin());
@@ -166,6 +174,8 @@
     CallResult result
         = co_await m_backend.exchange(backendRequest(call, token), call.context.timeLeft);
     ended = slot.endCall();
+    if (ended.callsBelow > 0)
+        m_paths.onAnswer(steadyNow(), keyBelow(call), ended.pathFraction);
     Duration slotTime = steadyNow() - slot.startedAt();
     WorkOutcome outcome = outcomeOf(result);
     slot.finish({outcome, slotTime, ended.waitedBelow, ended.callsBelow > 0
@@ -197,7 +207,9 @@
     AnswerMessage message;
     message.callId = call.callId;
     message.load = m_admission.report(call.context.priority, call.context.team);
-    message.load.pathFraction = std::min(message.load.pathFraction, ended.pathFraction);
+    message.load.pathFraction
+        = std::min({message.load.pathFraction, ended.pathFraction,
+                    m_paths.fraction(steadyNow(), keyBelow(call))});
     message.retriesLeft = ended.retriesLeft;
     const Refusal *refusal = std::get_if<Refusal>(&result);
     std::string outcome = refusal ? std::string(answerFor(refusal->kind).name) : "answered";
--- a/src/transport/target_service.h
+++ b/src/transport/target_service.h
@@ -5,6 +5,7 @@
 #include "node_state.h"
 
 #include "ibiswell/decisions/call_table.h"
+#include "ibiswell/decisions/path_table.h"
 #include "ibiswell/decisions/policy_store.h"
 #include "ibiswell/decisions/target_admission.h"
 #include "ibiswell/kernel/kernel.h"
@@ -18,7 +19,7 @@
 class TargetService
 {
 public:
-    /** Looks up "node", "policy", "admission", "calls" and "decisions". */
+    /** Looks up "node", "policy", "admission", "paths", "calls" and "decisions". */
     TargetService(Kernel &kernel, asio::io_context &context);
 
     /** Runs one call to its end. When cancelled, the work at the backend server is cancelled. */
@@ -52,6 +53,7 @@
     NodeState &m_node;
     PolicyStore &m_policy;
     TargetAdmission &m_admission;
+    PathTable &m_paths;
     CallTable &m_calls;
     DecisionLog &m_decisions;
     HttpClient m_backend;
