--- a/benchmark/load_figures.cpp
+++ b/benchmark/load_figures.cpp
@@ -1,6 +1,7 @@
 /** Prints the table of figures: ibiswell beside the baselines, in virtual time, fixed seeds. */
 
 #include "fleet_model.h"
+#include "rate_model.h"
 
 #include <fmt/format.h>
 
@@ -43,25 +44,27 @@
 {
     fmt::print("\n{}: capacity {:.0f} requests/s; goodput in whole answers/s\n", deployment.name,
                deployment.capacity());
-    fmt::print("{:<16}{:>8}{:>8}{:>8}{:>8}{:>9}{:>9}{:>9}{:>12}{:>10}\n", "control", "1x", "2x", "5x",
-               "10x", "10x/1x", "imp.5x%", "imp.10x%", "worst team", "wasted%");
+    fmt::print("{:<16}{:>8}{:>8}{:>8}{:>8}{:>9}{:>9}{:>9}{:>12}{:>10}\n", "control", "1x", "2x",
+               "5x", "10x", "10x/1x", "imp.5x%", "imp.10x%", "worst team", "wasted%");
     for (Control control : controls) {
-        Retries retries = control == Control::Ibiswell ? Retries::CallTree
-                                                       : Retries::ThreeAtEachHop;
+        Retries retries =
+            control == Control::Ibiswell ? Retries::CallTree : Retries::ThreeAtEachHop;
         std::vector<double> goodput;
         std::vector<double> important;
         Figures last;
         for (double multiple : {1.0, 2.0, 5.0, 10.0}) {
             last = steady(deployment, control, retries, multiple);
             goodput.push_back(answersPerSecond(last));
-            important.push_back(100.0 * static_cast<double>(last.importantWhole)
-                                / static_cast<double>(std::max<std::uint64_t>(1, last.importantSent)));
+            important.push_back(
+                100.0 * static_cast<double>(last.importantWhole)
+                / static_cast<double>(std::max<std::uint64_t>(1, last.importantSent)));
         }
         double wasted = 100 * last.wastedSlotSeconds
             / std::max(1e-9, last.wastedSlotSeconds + last.usefulSlotSeconds);
-        fmt::print("{:<16}{:>8.1f}{:>8.1f}{:>8.1f}{:>8.1f}{:>9.3f}{:>9.2f}{:>9.2f}{:>12.3f}{:>10.1f}\n",
-                   toString(control), goodput[0], goodput[1], goodput[2], goodput[3],
-                   goodput[3] / goodput[0], important[2], important[3], last.worstTeamShare(), wasted);
+        fmt::print(
+            "{:<16}{:>8.1f}{:>8.1f}{:>8.1f}{:>8.1f}{:>9.3f}{:>9.2f}{:>9.2f}{:>12.3f}{:>10.1f}\n",
+            toString(control), goodput[0], goodput[1], goodput[2], goodput[3],
+            goodput[3] / goodput[0], important[2], important[3], last.worstTeamShare(), wasted);
     }
 }
 
@@ -72,8 +75,8 @@
     for (Control control : controls) {
         Scenario scenario;
         scenario.control = control;
-        scenario.retries = control == Control::Ibiswell ? Retries::CallTree
-                                                        : Retries::ThreeAtEachHop;
+        scenario.retries =
+            control == Control::Ibiswell ? Retries::CallTree : Retries::ThreeAtEachHop;
         scenario.load = {{0s, 0.7}, {5s, 10}, {15s, 0.7}};
         scenario.length = 45s;
         Figures figures = FleetModel(deployment, scenario).run();
@@ -99,8 +102,8 @@
 {
     fmt::print("\n{}: retry policies with no other control, at 2x\n", deployment.name);
     fmt::print("{:<20}{:>12}{:>16}\n", "retries", "goodput/s", "sends/request");
-    for (Retries retries : {Retries::Never, Retries::ThreeAtEachHop, Retries::NodeShare,
-                            Retries::CallTree}) {
+    for (Retries retries :
+         {Retries::Never, Retries::ThreeAtEachHop, Retries::NodeShare, Retries::CallTree}) {
         Figures figures = steady(deployment, Control::None, retries, 2);
         fmt::print("{:<20}{:>12.1f}{:>16.2f}\n", toString(retries), answersPerSecond(figures),
                    static_cast<double>(figures.calls) / static_cast<double>(figures.sent));
@@ -152,6 +155,41 @@
 
 } // namespace
 
+void printRates()
+{
+    fmt::print("\nfleet-wide rate, 18 nodes: refused although within the rate\n");
+    fmt::print("{:<34}{:>8}{:>8}{:>10}{:>10}{:>9}{:>14}{:>10}{:>12}\n", "load", "sent", "due",
+               "admitted", "wrongful", "%", "excess/burst", "msgs/req", "max wait");
+    struct Row
+    {
+        std::string_view name;
+        double load;
+        bool oneNode;
+        double lost;
+        double rate;
+    };
+    for (const Row &row : {Row {"even, 0.9 of the rate", 0.9, false, 0, 200},
+                           Row {"one node, 0.9 of the rate", 0.9, true, 0, 200},
+                           Row {"even, 3 times the rate", 3, false, 0, 200},
+                           Row {"one node, 3 times the rate", 3, true, 0, 200},
+                           Row {"even, 1% of messages lost", 0.9, false, 0.01, 200},
+                           Row {"even, 20 requests/s", 0.9, false, 0, 20},
+                           Row {"one node, 20 requests/s", 0.9, true, 0, 20}}) {
+        RateScenario scenario;
+        scenario.load = row.load;
+        scenario.oneNode = row.oneNode;
+        scenario.lostMessages = row.lost;
+        scenario.ratePerSecond = scenario.burst = row.rate;
+        RateFigures figures = runRateModel(scenario);
+        fmt::print("{:<34}{:>8}{:>8}{:>10}{:>10}{:>9.3f}{:>14.3f}{:>10.2f}{:>9.1f} ms\n",
+                   row.name, figures.sent, figures.due, figures.admitted, figures.wrongful,
+                   100 * static_cast<double>(figures.wrongful) / static_cast<double>(figures.sent),
+                   figures.largestExcess / scenario.burst,
+                   static_cast<double>(figures.messages) / static_cast<double>(figures.sent),
+                   inSeconds(figures.longestWait) * 1000);
+    }
+}
+
 /** load_figures trace DEPLOYMENT MULTIPLE [cold]: the state of each service over time. */
 int printTrace(int argc, char **argv)
 {
@@ -171,9 +209,8 @@
         for (const auto &[refusal, count] : figures.refusals)
             fmt::print("{:>10} {}\n", count, refusal);
         for (const auto &[key, wanted] : figures.wantedByTeam)
-            fmt::print("{:<10} team {} wanted {:>8} served {:>8}\n",
-                       ibiswell::toString(key.first), key.second, wanted,
-                       figures.servedByTeam[key]);
+            fmt::print("{:<10} team {} wanted {:>8} served {:>8}\n", ibiswell::toString(key.first),
+                       key.second, wanted, figures.servedByTeam[key]);
         fmt::print("{:>10} sent\n{:>10} whole\n", figures.sent, figures.whole);
     }
     return 0;
@@ -183,6 +220,9 @@
 {
     if (argc > 1 && std::strcmp(argv[1], "trace") == 0)
         return printTrace(argc, argv);
+    printRates();
+    if (argc > 1 && std::strcmp(argv[1], "rates") == 0)
+        return 0;
     bool quick = argc > 1 && std::strcmp(argv[1], "--quick") == 0;
     std::vector<Control> controls {Control::Ibiswell};
     if (!quick)
--- a/benchmark/model/fleet_model.cpp
+++ b/benchmark/model/fleet_model.cpp
@@ -321,11 +321,11 @@
             m_figures.importantSent += request->shape->priority <= PriorityClass::Important;
             m_figures.wantedByTeam[{request->shape->priority, request->team}] += 1;
         }
-        sendRequest(std::move(request));
+        sendRequest(request);
     });
 }
 
-void FleetModel::sendRequest(std::shared_ptr<Request> request)
+void FleetModel::sendRequest(const std::shared_ptr<Request> &request)
 {
     ++request->tries;
     auto call = std::make_shared<Call>();
@@ -342,8 +342,8 @@
     call->done = [this, request](const Outcome &outcome) { endRequest(request, outcome); };
     if (m_scenario.control == Control::Ibiswell && m_scenario.shedAtEntry) {
         PathTable &paths = m_nodes[static_cast<std::size_t>(call->node)]->paths;
-        context.admittedFraction = paths.fraction(
-            m_events.now(), {call->work->route, context.team, context.priority});
+        context.admittedFraction =
+            paths.fraction(m_events.now(), {call->work->route, context.team, context.priority});
         if (context.admissionDraw >= context.admittedFraction) {
             Outcome refused;
             refused.refusal = {ErrorKind::PathOverloaded, "", Execution::NotRun};
@@ -352,7 +352,7 @@
             return;
         }
     }
-    beginCall(std::move(call));
+    beginCall(call);
 }
 
 void FleetModel::endRequest(const std::shared_ptr<Request> &request, const Outcome &outcome)
@@ -391,7 +391,7 @@
     ++m_figures.refusals[name];
 }
 
-void FleetModel::beginCall(std::shared_ptr<Call> call)
+void FleetModel::beginCall(const std::shared_ptr<Call> &call)
 {
     call->retriesLeft = call->context.retriesLeft;
     m_nodes[static_cast<std::size_t>(call->node)]->retries.onFirstAttempt();
@@ -401,9 +401,10 @@
 void FleetModel::sendCall(const std::shared_ptr<Call> &call)
 {
     Node &node = *m_nodes[static_cast<std::size_t>(call->node)];
-    RouteQuery query {call->work->service,
-                      [this](std::string_view zone) { return m_zonesOut.contains(std::string(zone)); },
-                      &call->excluded};
+    RouteQuery query {
+        call->work->service,
+        [this](std::string_view zone) { return m_zonesOut.contains(std::string(zone)); },
+        &call->excluded};
     std::optional<RouteChoice> choice = node.router->choose(m_events.now(), query, m_random);
     if (!choice) {
         Outcome outcome;
@@ -432,8 +433,7 @@
     call->context.timeLeft = call->deadline - m_events.now();
     PathTable &paths = m_nodes[static_cast<std::size_t>(index)]->paths;
     Arrival arrival {call->work->route, call->context, 1, 1};
-    arrival.fractionBelow
-        = paths.fraction(m_events.now(), keyBelow(*call));
+    arrival.fractionBelow = paths.fraction(m_events.now(), keyBelow(*call));
     if (const auto *gate = std::get_if<TargetAdmission>(&target.gate))
         call->context.admittedFraction = gate->fractionHandedOn(arrival);
     std::vector<AdmissionEffect> effects = arrive(target.gate, m_events.now(), arrival);
@@ -535,7 +535,7 @@
         else
             endWork(index, call, true, WorkOutcome::Completed);
     };
-    beginCall(std::move(next));
+    beginCall(next);
 }
 
 void FleetModel::endWork(int index, const std::shared_ptr<Call> &call, bool failed,
@@ -551,8 +551,8 @@
     if (!call->token.empty())
         ended = call->below.end(m_events.now(), call->token);
     if (ended.callsBelow > 0)
-        m_nodes[static_cast<std::size_t>(index)]->paths.onAnswer(
-            m_events.now(), keyBelow(*call), ended.pathFraction);
+        m_nodes[static_cast<std::size_t>(index)]->paths.onAnswer(m_events.now(), keyBelow(*call),
+                                                                 ended.pathFraction);
     Duration slotTime = m_events.now() - call->startedAt;
     call->request->slotSeconds += inSeconds(slotTime);
     WorkEnd end {outcome, slotTime, ended.waitedBelow, outcome == WorkOutcome::Failed};
@@ -565,8 +565,8 @@
     result.whole = !failed;
     result.retriesLeft = ended.retriesLeft;
     result.pathFraction = ended.pathFraction;
-    ErrorKind kind = outcome == WorkOutcome::Shed ? ErrorKind::BackendShed
-                                                  : ErrorKind::OutcomeUnknown;
+    ErrorKind kind =
+        outcome == WorkOutcome::Shed ? ErrorKind::BackendShed : ErrorKind::OutcomeUnknown;
     result.refusal = {kind, "", Execution::Unknown};
     if (failed)
         noteRefusal(*call, kind);
@@ -600,9 +600,9 @@
         const std::string &name = m_nodes[static_cast<std::size_t>(index)]->name;
         bool failed = !answer.whole && answer.refusal.execution == Execution::Unknown;
         caller.router->onAnswer(m_events.now(), name, answer.load, failed);
-        caller.paths.onAnswer(
-            m_events.now(), {call->work->route, call->context.team, call->context.priority},
-            answer.pathFraction);
+        caller.paths.onAnswer(m_events.now(),
+                              {call->work->route, call->context.team, call->context.priority},
+                              answer.pathFraction);
         call->excluded.push_back(name);
         afterAnswer(call, answer);
     });
--- a/benchmark/model/fleet_model.h
+++ b/benchmark/model/fleet_model.h
@@ -95,11 +95,11 @@
 
     void scheduleArrivals();
     void scheduleNextArrival();
-    void sendRequest(std::shared_ptr<Request> request);
+    void sendRequest(const std::shared_ptr<Request> &request);
     void endRequest(const std::shared_ptr<Request> &request, const Outcome &outcome);
     static PathKey keyBelow(const Call &call);
     void noteRefusal(const Call &call, ErrorKind kind);
-    void beginCall(std::shared_ptr<Call> call);
+    void beginCall(const std::shared_ptr<Call> &call);
     void sendCall(const std::shared_ptr<Call> &call);
     void arriveAtTarget(const std::shared_ptr<Call> &call, int target);
     void applyEffects(int target, const std::vector<AdmissionEffect> &effects);
--- /dev/null
+++ b/benchmark/model/rate_model.cpp
@@ -0,0 +1,203 @@
+#include "rate_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ibiswell::model {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration sameZoneLatency = 200us;
+constexpr Duration stockInterval = 10ms;
+constexpr Duration longestWait = 150ms;
+const std::string team = "team";
+
+/** One bucket for the whole fleet: what an exact and instant limiter would do. */
+struct CentralBucket
+{
+    double rate;
+    double burst;
+    double tokens;
+    TimePoint filledAt {};
+
+    bool admit(TimePoint now)
+    {
+        tokens = std::min(burst, tokens + rate * inSeconds(now - filledAt));
+        filledAt = now;
+        if (tokens < 1)
+            return false;
+        tokens -= 1;
+        return true;
+    }
+};
+
+/** Largest number admitted in any interval beyond rate times its length. */
+struct ExcessMeter
+{
+    double rate;
+    double level = 0;
+    double largest = 0;
+    TimePoint last {};
+
+    void onAdmitted(TimePoint now)
+    {
+        level = std::max(0.0, level - rate * inSeconds(now - last)) + 1;
+        last = now;
+        largest = std::max(largest, level);
+    }
+};
+
+class RateModel
+{
+public:
+    explicit RateModel(const RateScenario &scenario)
+        : m_scenario(scenario)
+        , m_random(scenario.seed)
+        , m_nodes(static_cast<std::size_t>(scenario.nodes))
+        , m_shares(static_cast<std::size_t>(scenario.shares), RateShare(TimePoint {}))
+        , m_central {scenario.ratePerSecond, scenario.burst, scenario.burst}
+        , m_excess {scenario.ratePerSecond}
+    {
+        m_policy.defaults.rateShares = scenario.shares;
+        m_policy.teams[team] = {scenario.ratePerSecond, scenario.burst, 1};
+    }
+
+    RateFigures run()
+    {
+        // The buckets start empty; the central one is given the same start.
+        m_events.at(TimePoint {} + 2s, [this] { arrive(); });
+        for (std::size_t node = 0; node < m_nodes.size(); ++node)
+            keepStock(node);
+        m_events.runUntil(TimePoint {} + m_scenario.length + 1s);
+        m_figures.largestExcess = m_excess.largest;
+        return m_figures;
+    }
+
+private:
+    struct Waiting
+    {
+        TimePoint since;
+        bool centralAdmits;
+    };
+    struct Node
+    {
+        TokenPurse purse;
+        std::deque<Waiting> waiting;
+    };
+
+    int zoneOf(std::size_t node) const { return static_cast<int>(node) % m_scenario.zones; }
+    std::size_t holderOf(std::uint32_t share) const { return share % m_nodes.size(); }
+
+    void arrive()
+    {
+        if (m_events.now() > TimePoint {} + m_scenario.length)
+            return;
+        double gap = -std::log(1 - uniform(m_random)) / (m_scenario.ratePerSecond * m_scenario.load);
+        m_events.after(fromSeconds(gap), [this] { arrive(); });
+        std::size_t node = m_scenario.oneNode ? 0 : pickIndex(m_random, m_nodes.size());
+        ++m_figures.sent;
+        Waiting request {m_events.now(), m_central.admit(m_events.now())};
+        m_figures.due += request.centralAdmits ? 1 : 0;
+        settle(node, request, m_nodes[node].purse.spend(m_events.now(), team));
+        sendAsks(node);
+    }
+
+    void settle(std::size_t node, const Waiting &request, const TokenVerdict &verdict)
+    {
+        if (std::holds_alternative<TokenPending>(verdict)) {
+            m_nodes[node].waiting.push_back(request);
+            return;
+        }
+        if (std::holds_alternative<TokenSpent>(verdict)) {
+            ++m_figures.admitted;
+            m_excess.onAdmitted(m_events.now());
+            m_figures.longestWait
+                = std::max(m_figures.longestWait, m_events.now() - request.since);
+        } else {
+            m_figures.wrongful += request.centralAdmits ? 1 : 0;
+        }
+    }
+
+    void serveWaiting(std::size_t index)
+    {
+        Node &node = m_nodes[index];
+        std::deque<Waiting> waiting;
+        waiting.swap(node.waiting);
+        for (const Waiting &request : waiting) {
+            if (m_events.now() - request.since > longestWait) {
+                node.purse.stopWaiting(team);
+                m_figures.wrongful += request.centralAdmits ? 1 : 0;
+                continue;
+            }
+            settle(index, request, node.purse.spendWaiting(m_events.now(), team));
+        }
+    }
+
+    void keepStock(std::size_t node)
+    {
+        serveWaiting(node);
+        sendAsks(node);
+        m_events.after(stockInterval, [this, node] { keepStock(node); });
+    }
+
+    void sendAsks(std::size_t index)
+    {
+        auto distance = [&](std::uint32_t share) -> std::optional<int> {
+            std::size_t holder = holderOf(share);
+            return holder == index ? 0 : zoneOf(holder) == zoneOf(index) ? 1 : 2;
+        };
+        auto asks = m_nodes[index].purse.takeAsks(m_events.now(), m_policy, distance);
+        for (SendTokenAsk &ask : asks) {
+            std::size_t holder = holderOf(ask.share);
+            send(index, holder, [this, index, holder, ask = ask.ask] { grant(index, holder, ask); });
+        }
+    }
+
+    void grant(std::size_t asker, std::size_t holder, const TokenAsk &ask)
+    {
+        const TeamPolicy &policy = m_policy.team(team);
+        int count = static_cast<int>(sharesOfTeam(team, policy, m_scenario.shares).size());
+        TokenGrant grant {ask.sequence, ask.share, {}, RateShare::grantLifetime};
+        for (const TokenAmount &wanted : ask.wanted)
+            grant.granted.push_back(m_shares[ask.share].grant(m_events.now(), team, policy, count,
+                                                              wanted.tokens));
+        send(holder, asker, [this, asker, grant] {
+            m_nodes[asker].purse.onGrant(m_events.now(), grant);
+            serveWaiting(asker);
+        });
+    }
+
+    void send(std::size_t from, std::size_t to, std::function<void()> deliver)
+    {
+        if (from == to) {
+            deliver();
+            return;
+        }
+        ++m_figures.messages;
+        if (uniform(m_random) < m_scenario.lostMessages)
+            return;
+        bool near = zoneOf(from) == zoneOf(to);
+        m_events.after(near ? sameZoneLatency : m_scenario.otherZoneLatency, std::move(deliver));
+    }
+
+    RateScenario m_scenario;
+    EventQueue m_events;
+    Random m_random;
+    std::vector<Node> m_nodes;
+    std::vector<RateShare> m_shares;
+    Policy m_policy;
+    CentralBucket m_central;
+    ExcessMeter m_excess;
+    RateFigures m_figures;
+};
+
+} // namespace
+
+RateFigures runRateModel(const RateScenario &scenario)
+{
+    return RateModel(scenario).run();
+}
+
+} // namespace ibiswell::model
--- a/include/ibiswell/core/member.h
+++ b/include/ibiswell/core/member.h
@@ -13,7 +13,7 @@
     std::string address;
     std::uint16_t port = 0;
 
-    auto operator<=>(const Endpoint &) const = default;
+    auto operator<=>(const Endpoint &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 std::string toString(const Endpoint &endpoint);
--- a/include/ibiswell/core/messages.h
+++ b/include/ibiswell/core/messages.h
@@ -149,9 +149,9 @@
 {
 };
 
-using PeerMessage
-    = std::variant<CallMessage, AnswerMessage, WorkingMessage, RosterRequest, RosterAnswer,
-                   PolicyPull, PolicyAnswer, KeyClaim, KeyClaimAnswer, KeySettled, KeySettledAnswer>;
+using PeerMessage =
+    std::variant<CallMessage, AnswerMessage, WorkingMessage, RosterRequest, RosterAnswer,
+                 PolicyPull, PolicyAnswer, KeyClaim, KeyClaimAnswer, KeySettled, KeySettledAnswer>;
 
 // Over UDP.
 
@@ -191,6 +191,14 @@
     double tokens = 0;
 };
 
+/** Tokens granted for one team. */
+struct GrantedTokens
+{
+    std::string team;
+    double tokens = 0;
+    double fill = 0; ///< What is left in the bucket, as a part of its burst.
+};
+
 /** Asks the holder of a rate share for tokens. */
 struct TokenAsk
 {
@@ -204,12 +212,12 @@
 {
     std::uint64_t sequence = 0;
     std::uint32_t share = 0;
-    std::vector<TokenAmount> granted;
+    std::vector<GrantedTokens> granted;
     Duration validFor {}; ///< From when the ask was sent, by the asker's clock.
 };
 
-using GossipBody = std::variant<Probe, ProbeAck, ProbeRequest, PolicyNews, MemberNews, TokenAsk,
-                                TokenGrant>;
+using GossipBody =
+    std::variant<Probe, ProbeAck, ProbeRequest, PolicyNews, MemberNews, TokenAsk, TokenGrant>;
 
 /** One datagram between nodes. */
 struct Datagram
--- a/include/ibiswell/core/time.h
+++ b/include/ibiswell/core/time.h
@@ -17,7 +17,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<MonotonicClock, duration>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): a clock has it
 };
 
 using TimePoint = MonotonicClock::time_point;
--- a/include/ibiswell/decisions/path_table.h
+++ b/include/ibiswell/decisions/path_table.h
@@ -17,7 +17,7 @@
     std::string team;
     PriorityClass priority = PriorityClass::Normal;
 
-    auto operator<=>(const PathKey &) const = default;
+    auto operator<=>(const PathKey &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /** Name under which a target's node keeps what the calls below a route of its own take. */
--- a/include/ibiswell/decisions/rate_share.h
+++ b/include/ibiswell/decisions/rate_share.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ibiswell/core/messages.h"
 #include "ibiswell/core/time.h"
 #include "ibiswell/policy/policy.h"
 
@@ -33,8 +34,8 @@
     explicit RateShare(TimePoint from);
 
     /** Takes up to @p wanted tokens out of the team's bucket. Whole tokens only. */
-    double grant(TimePoint now, const std::string &team, const TeamPolicy &policy, int shareCount,
-                 double wanted);
+    GrantedTokens grant(TimePoint now, const std::string &team, const TeamPolicy &policy,
+                        int shareCount, double wanted);
 
     std::size_t teamCount() const { return m_buckets.size(); }
 
--- a/include/ibiswell/decisions/token_purse.h
+++ b/include/ibiswell/decisions/token_purse.h
@@ -86,10 +86,16 @@
         double waiting = 0; ///< Requests whose verdict is pending.
         std::map<std::uint32_t, AskedShare> asked; ///< Asks under way.
         std::map<std::uint32_t, TimePoint> emptyUntil; ///< Shares that lately had no token.
+        std::map<std::uint32_t, double> fill; ///< How full each share was when it last granted.
         std::size_t shareCount = 1; ///< Of this team.
         TimePoint usedAt;
         bool holdersUnknown = false;
     };
+    struct ReachableShare
+    {
+        int distance;
+        std::uint32_t share;
+    };
     struct OpenAsk
     {
         TimePoint sentAt;
@@ -99,6 +105,8 @@
     static void dropLapsed(TimePoint now, TeamState &team);
     static double available(const TeamState &team);
     static TokenVerdict judge(TimePoint now, TeamState &team);
+    /** Orders the shares to ask: the nearest while it is well filled, else the fullest first. */
+    static void orderShares(const TeamState &team, std::vector<ReachableShare> &shares);
     static void noteDemand(TimePoint now, TeamState &team);
     void planTeam(TimePoint now, const std::string &name, TeamState &team, const Policy &policy,
                   const ShareDistance &distance, std::map<std::uint32_t, TokenAsk> &asks);
--- a/include/ibiswell/kernel/kernel.h
+++ b/include/ibiswell/kernel/kernel.h
@@ -44,15 +44,13 @@
     }
 
     /** The service of that name and type, or null; lastError() then tells which was missing. */
-    template<typename Service>
-    Service *find(std::string_view name)
+    template<typename Service> Service *find(std::string_view name)
     {
         return static_cast<Service *>(lookUp(name, typeid(Service)));
     }
 
     /** Like find(), for a service that the node cannot be without; ends the process if missing. */
-    template<typename Service>
-    Service &get(std::string_view name)
+    template<typename Service> Service &get(std::string_view name)
     {
         Service *service = find<Service>(name);
         if (!service)
--- a/include/ibiswell/policy/object_reader.h
+++ b/include/ibiswell/policy/object_reader.h
@@ -25,7 +25,7 @@
 class FaultList
 {
 public:
-    void add(std::string path, std::string_view fault);
+    void add(const std::string &path, std::string_view fault);
     bool isEmpty() const { return m_faults.empty(); }
     /** All faults, one a line. */
     std::string text() const;
--- a/include/ibiswell/transport/decision_log.h
+++ b/include/ibiswell/transport/decision_log.h
@@ -21,8 +21,7 @@
     /** Looks up "log". */
     explicit DecisionLog(Kernel &kernel);
 
-    void note(const std::string &requestId, std::string_view event,
-              std::vector<LogField> fields);
+    void note(const std::string &requestId, std::string_view event, std::vector<LogField> fields);
 
     /** Lines of a request, the oldest first; empty when none is kept. */
     std::vector<std::string> explain(const std::string &requestId) const;
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -40,8 +40,7 @@
     ErrorAnswer {ErrorKind::InvalidSetting, "invalid-setting", 400, E::NotRun, R::Never},
     ErrorAnswer {ErrorKind::InvalidPolicy, "invalid-policy", 400, E::NotRun, R::Never},
     ErrorAnswer {ErrorKind::VersionConflict, "version-conflict", 409, E::NotRun, R::Never},
-    ErrorAnswer {ErrorKind::PlatformUnavailable, "platform-unavailable", 503, E::Unknown,
-                 R::Never},
+    ErrorAnswer {ErrorKind::PlatformUnavailable, "platform-unavailable", 503, E::Unknown, R::Never},
     ErrorAnswer {ErrorKind::NotPermitted, "not-permitted", 403, E::NotRun, R::Never},
     ErrorAnswer {ErrorKind::MalformedMessage, "malformed-message", 400, E::NotRun, R::Never},
 };
--- a/src/decisions/call_table.cpp
+++ b/src/decisions/call_table.cpp
@@ -29,7 +29,8 @@
     context.depth = static_cast<std::uint8_t>(context.depth + 1);
     context.attempt = 1;
     context.retriesLeft = retriesForCallBelow(call.ended.retriesLeft);
-    call.ended.retriesLeft = static_cast<std::uint8_t>(call.ended.retriesLeft - context.retriesLeft);
+    call.ended.retriesLeft =
+        static_cast<std::uint8_t>(call.ended.retriesLeft - context.retriesLeft);
     return context;
 }
 
--- a/src/decisions/concurrency_limit.cpp
+++ b/src/decisions/concurrency_limit.cpp
@@ -90,8 +90,7 @@
 /** Only samples at low concurrency tell the base time; a busy server's own queue would raise it. */
 void ConcurrencyLimit::learnBase(const WorkSample &sample, double own, RouteTimes &times) const
 {
-    bool low = m_probing || m_limit <= fewCalls
-        || sample.inFlightAtStart <= lowShare * m_limit;
+    bool low = m_probing || m_limit <= fewCalls || sample.inFlightAtStart <= lowShare * m_limit;
     if (times.samples >= samplesToLearnRoute && !low)
         return;
     ++times.samples;
--- a/src/decisions/demand_shares.cpp
+++ b/src/decisions/demand_shares.cpp
@@ -38,8 +38,8 @@
     Demand &demand = m_classes[static_cast<std::size_t>(context.priority)][context.team];
     double age = inSeconds(now - demand.updatedAt) / inSeconds(memoryOfDemand);
     double standsFor = 1 / std::max(context.admittedFraction, smallestFraction);
-    demand.decayedSlotSeconds
-        = demand.decayedSlotSeconds * std::exp(-age) + standsFor * inSeconds(slotTime);
+    demand.decayedSlotSeconds =
+        demand.decayedSlotSeconds * std::exp(-age) + standsFor * inSeconds(slotTime);
     demand.updatedAt = now;
     demand.weight = weight;
 }
--- a/src/decisions/entry_admission.cpp
+++ b/src/decisions/entry_admission.cpp
@@ -4,8 +4,8 @@
 #include "ibiswell/decisions/policy_store.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cctype>
+#include <charconv>
 #include <fmt/format.h>
 
 namespace ibiswell {
@@ -30,10 +30,9 @@
 {
     if (name.size() < headers::prefix.size())
         return false;
-    return std::equal(headers::prefix.begin(), headers::prefix.end(), name.begin(),
-                      [](char a, char b) {
-                          return a == std::tolower(static_cast<unsigned char>(b));
-                      });
+    return std::equal(
+        headers::prefix.begin(), headers::prefix.end(), name.begin(),
+        [](char a, char b) { return a == std::tolower(static_cast<unsigned char>(b)); });
 }
 
 /** Takes the key, and any field that repeats it, out of the request. */
@@ -118,8 +117,8 @@
     return std::nullopt;
 }
 
-EntryVerdict EntryAdmission::admit(TimePoint now, HttpRequest request,
-                                   const std::string &requestId, Random &random) const
+EntryVerdict EntryAdmission::admit(TimePoint now, HttpRequest request, const std::string &requestId,
+                                   Random &random) const
 {
     auto found = findRoute(std::move(request));
     if (std::holds_alternative<Refusal>(found))
@@ -142,12 +141,13 @@
     context.timeLeft = *deadline;
     context.retriesLeft = static_cast<std::uint8_t>(defaults.retriesPerCallTree);
     context.admissionDraw = uniform(random);
-    context.admittedFraction = m_paths.fraction(now, {entered.route.name, context.team, context.priority});
+    context.admittedFraction =
+        m_paths.fraction(now, {entered.route.name, context.team, context.priority});
     if (context.admissionDraw >= context.admittedFraction)
-        return Refusal {ErrorKind::PathOverloaded,
-                        fmt::format("the path takes {:.3f} of this team's requests",
-                                    context.admittedFraction),
-                        Execution::NotRun};
+        return Refusal {
+            ErrorKind::PathOverloaded,
+            fmt::format("the path takes {:.3f} of this team's requests", context.admittedFraction),
+            Execution::NotRun};
     return found;
 }
 
--- a/src/decisions/fair_queue.cpp
+++ b/src/decisions/fair_queue.cpp
@@ -76,9 +76,8 @@
 {
     for (ClassQueue &queue : m_classes) {
         for (auto &[name, team] : queue.teams) {
-            auto it = std::find_if(team.calls.begin(), team.calls.end(), [&](const auto &item) {
-                return item.second.ticket == ticket;
-            });
+            auto it = std::find_if(team.calls.begin(), team.calls.end(),
+                                   [&](const auto &item) { return item.second.ticket == ticket; });
             if (it == team.calls.end())
                 continue;
             take(queue, team, it);
--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -168,8 +168,7 @@
     return effects;
 }
 
-void Membership::handle(TimePoint, const Datagram &from, const Probe &probe,
-                        MembershipEffects &out)
+void Membership::handle(TimePoint, const Datagram &from, const Probe &probe, MembershipEffects &out)
 {
     // A node that is suspected or dead here must learn of it, so that it can refute.
     auto known = m_members.find(from.sender);
--- a/src/decisions/policy_store.cpp
+++ b/src/decisions/policy_store.cpp
@@ -17,9 +17,9 @@
 bool PolicyStore::adopt(PolicyDocument document)
 {
     if (document.version <= m_policy.version) {
-        m_lastError = Error {ErrorKind::VersionConflict,
-                             fmt::format("version {} is not newer than {}", document.version,
-                                         m_policy.version)};
+        m_lastError = Error {
+            ErrorKind::VersionConflict,
+            fmt::format("version {} is not newer than {}", document.version, m_policy.version)};
         return false;
     }
     return replace(std::move(document));
@@ -64,9 +64,8 @@
 {
     if (haveVersion >= m_policy.version)
         return {};
-    auto first = std::find_if(m_deltas.begin(), m_deltas.end(), [&](const PolicyDelta &delta) {
-        return delta.from == haveVersion;
-    });
+    auto first = std::find_if(m_deltas.begin(), m_deltas.end(),
+                              [&](const PolicyDelta &delta) { return delta.from == haveVersion; });
     if (first == m_deltas.end())
         return {m_document};
     return {std::vector<PolicyDelta>(first, m_deltas.end())};
--- a/src/decisions/rate_share.cpp
+++ b/src/decisions/rate_share.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace ibiswell {
 
@@ -18,13 +19,12 @@
                                         int rateShares)
 {
     int count = std::clamp(static_cast<int>(policy.burst / smallestBurstOfShare), 1, rateShares);
-    std::vector<std::pair<std::uint64_t, std::uint32_t>> ranked;
-    for (int share = 0; share < rateShares; ++share)
-        ranked.emplace_back(stableHash(team, static_cast<std::uint64_t>(share)), share);
-    std::sort(ranked.begin(), ranked.end());
-    std::vector<std::uint32_t> shares;
-    for (int i = 0; i < count; ++i)
-        shares.push_back(ranked[static_cast<std::size_t>(i)].second);
+    std::vector<std::uint32_t> shares(static_cast<std::size_t>(rateShares));
+    std::iota(shares.begin(), shares.end(), 0u);
+    std::sort(shares.begin(), shares.end(), [&](std::uint32_t a, std::uint32_t b) {
+        return stableHash(team, a) < stableHash(team, b);
+    });
+    shares.resize(static_cast<std::size_t>(count));
     return shares;
 }
 
@@ -47,24 +47,26 @@
     bucket.tokens = std::min(bucket.tokens + minted, room);
 }
 
-double RateShare::grant(TimePoint now, const std::string &team, const TeamPolicy &policy,
-                        int shareCount, double wanted)
+GrantedTokens RateShare::grant(TimePoint now, const std::string &team, const TeamPolicy &policy,
+                               int shareCount, double wanted)
 {
     if (now < m_from)
-        return 0;
+        return {team, 0, 0};
     auto [it, isNew] = m_buckets.try_emplace(team);
     Bucket &bucket = it->second;
     if (isNew)
         bucket.mintedUntil = m_from;
-    mint(now, bucket, policy.ratePerSecond / shareCount, policy.burst / shareCount);
+    double burst = policy.burst / shareCount;
+    mint(now, bucket, policy.ratePerSecond / shareCount, burst);
     double given = std::floor(std::min(bucket.tokens, wanted));
-    if (given <= 0)
-        return 0;
     bucket.tokens -= given;
+    double fill = burst > 0 ? bucket.tokens / burst : 0;
+    if (given <= 0)
+        return {team, 0, fill};
     bucket.granted += given;
     Duration kept = fromSeconds(inSeconds(grantLifetime) * (1 + clockDriftShare));
     bucket.grants.push_back({now + kept, given});
-    return given;
+    return {team, given, fill};
 }
 
 } // namespace ibiswell
--- a/src/decisions/router.cpp
+++ b/src/decisions/router.cpp
@@ -118,14 +118,14 @@
             consider(m_targets.at(node));
     }
     if (!best) {
-        m_lastError
-            = Error {ErrorKind::NoTarget, fmt::format("{} targets of service \"{}\" are known, "
-                                                      "none takes work",
-                                                      nodes.size(), query.service)};
+        m_lastError = Error {ErrorKind::NoTarget,
+                             fmt::format("{} targets of service \"{}\" are known, "
+                                         "none takes work",
+                                         nodes.size(), query.service)};
         return std::nullopt;
     }
     std::string_view reason = best->member.zone == m_ownZone ? "earliest answer, own zone"
-                                                              : "earliest answer, other zone";
+                                                             : "earliest answer, other zone";
     return RouteChoice {best->member.node, best->member.endpoint, best->member.zone, nodes.size(),
                         reason};
 }
--- a/src/decisions/target_admission.cpp
+++ b/src/decisions/target_admission.cpp
@@ -71,7 +71,7 @@
         return refuse(ticket, ErrorKind::TargetOverloaded);
     if (!isAdmitted(context, arrival.fractionBelow))
         return refuse(ticket, ErrorKind::PathOverloaded);
-    WaitingCall call {ticket,        context.team,           context.priority, context.depth,
+    WaitingCall call {ticket,         context.team,           context.priority, context.depth,
                       arrival.weight, now + context.timeLeft, slotTime};
     if (inFlight() < limit() && m_queue.size() == 0) {
         m_queue.charge(call.priority, call.team, call.weight, slotTime);
@@ -85,8 +85,8 @@
 {
     Ticket ticket = call.ticket;
     Duration delay = queueDelay(call.priority);
-    Duration bearable
-        = std::max(longestQueueDelay, fromSeconds(queueDelayForSlotTime * m_meanSlotSeconds));
+    Duration bearable =
+        std::max(longestQueueDelay, fromSeconds(queueDelayForSlotTime * m_meanSlotSeconds));
     if (delay + m_limit.baseTime(arrival.route) >= arrival.context.timeLeft)
         return refuse(ticket, ErrorKind::DeadlineTooShort);
     std::vector<AdmissionEffect> effects {QueueCall {ticket}};
@@ -104,8 +104,9 @@
 
 void TargetAdmission::start(const std::string &route, const WaitingCall &call)
 {
-    m_running.emplace(call.ticket, Running {route, call.team, call.priority, call.weight,
-                                            inFlight() + 1, call.expectedSlotTime});
+    m_running.emplace(call.ticket,
+                      Running {route, call.team, call.priority, call.weight, inFlight() + 1,
+                               call.expectedSlotTime});
 }
 
 std::vector<AdmissionEffect> TargetAdmission::finish(TimePoint now, Ticket ticket,
@@ -121,8 +122,8 @@
     if (!end.abandoned) {
         if (end.outcome == WorkOutcome::Completed)
             noteSlotTime(call.route, end.slotTime);
-        m_limit.onSample({call.route, end.slotTime, end.waitedBelow, end.outcome,
-                          call.inFlightAtStart});
+        m_limit.onSample(
+            {call.route, end.slotTime, end.waitedBelow, end.outcome, call.inFlightAtStart});
     }
     startWaiting(now, effects);
     return effects;
@@ -178,8 +179,8 @@
     report.inFlight = static_cast<std::uint32_t>(inFlight());
     report.queued = static_cast<std::uint32_t>(m_queue.size());
     report.limit = static_cast<std::uint32_t>(limit());
-    report.serviceTime
-        = m_meanSlotSeconds > 0 ? fromSeconds(m_meanSlotSeconds) : slotTimeBeforeLearned;
+    report.serviceTime =
+        m_meanSlotSeconds > 0 ? fromSeconds(m_meanSlotSeconds) : slotTimeBeforeLearned;
     return report;
 }
 
--- a/src/decisions/token_purse.cpp
+++ b/src/decisions/token_purse.cpp
@@ -17,7 +17,8 @@
 constexpr Duration emptyShareRest = 20ms; // before a share without tokens is asked again
 constexpr Duration idleTeamForgotten = 10s;
 constexpr double clockDriftShare = 0.05;
-constexpr double unused = 1e-9;
+constexpr double wellFilled = 0.5; // of a share's burst
+constexpr double rounding = 1e-9;
 
 } // namespace
 
@@ -85,19 +86,36 @@
         found->second.waiting = std::max(0.0, found->second.waiting - 1);
 }
 
+void TokenPurse::orderShares(const TeamState &team, std::vector<ReachableShare> &shares)
+{
+    auto fillOf = [&](const ReachableShare &reachable) {
+        auto found = team.fill.find(reachable.share);
+        return found == team.fill.end() ? 1.0 : found->second;
+    };
+    std::sort(shares.begin(), shares.end(),
+              [](const ReachableShare &a, const ReachableShare &b) {
+                  return std::pair(a.distance, a.share) < std::pair(b.distance, b.share);
+              });
+    if (shares.empty() || fillOf(shares.front()) >= wellFilled)
+        return;
+    std::stable_sort(shares.begin(), shares.end(),
+                     [&](const ReachableShare &a, const ReachableShare &b) {
+                         return fillOf(a) > fillOf(b);
+                     });
+}
+
 void TokenPurse::planTeam(TimePoint now, const std::string &name, TeamState &team,
                           const Policy &policy, const ShareDistance &distance,
                           std::map<std::uint32_t, TokenAsk> &asks)
 {
     dropLapsed(now, team);
-    std::vector<std::pair<int, std::uint32_t>> reachable;
+    std::vector<ReachableShare> reachable;
     std::size_t known = 0;
-    for (std::uint32_t share :
-         sharesOfTeam(name, policy.team(name), policy.defaults.rateShares)) {
+    for (std::uint32_t share : sharesOfTeam(name, policy.team(name), policy.defaults.rateShares)) {
         std::optional<int> far = distance(share);
         known += far ? 1 : 0;
         if (far && !team.asked.contains(share) && !team.emptyUntil.contains(share))
-            reachable.emplace_back(*far, share);
+            reachable.push_back({*far, share});
     }
     team.shareCount = std::max<std::size_t>(1, known);
     team.holdersUnknown = known == 0;
@@ -109,14 +127,15 @@
     bool enough = stock >= team.waiting + target / 2;
     if (enough || missing < 1)
         return;
-    std::sort(reachable.begin(), reachable.end());
-    // The nearest share is asked for all; when it lately ran dry, the others each for a part.
-    bool nearest = team.emptyUntil.empty();
-    std::size_t count = nearest ? std::min<std::size_t>(1, reachable.size()) : reachable.size();
+    orderShares(team, reachable);
+    // The first share is asked for all; when one lately ran dry, the others each for a part.
+    bool single = team.emptyUntil.empty();
+    std::size_t most = single ? 1 : static_cast<std::size_t>(missing);
+    std::size_t count = std::min(most, reachable.size());
     for (std::size_t i = 0; i < count; ++i) {
         double part = std::ceil(missing / static_cast<double>(count));
-        asks[reachable[i].second].wanted.push_back({name, part});
-        team.asked[reachable[i].second] = {now + askTimeout, part};
+        asks[reachable[i].share].wanted.push_back({name, part});
+        team.asked[reachable[i].share] = {now + askTimeout, part};
     }
 }
 
@@ -150,15 +169,17 @@
     if (open == m_open.end())
         return;
     Duration valid = std::min(grant.validFor, RateShare::grantLifetime);
-    TimePoint lapsesAt = open->second.sentAt + fromSeconds(inSeconds(valid) * (1 - clockDriftShare));
-    for (const TokenAmount &amount : grant.granted) {
+    TimePoint lapsesAt =
+        open->second.sentAt + fromSeconds(inSeconds(valid) * (1 - clockDriftShare));
+    for (const GrantedTokens &amount : grant.granted) {
         auto wanted = open->second.wanted.find(amount.team);
         auto team = m_teams.find(amount.team);
         if (wanted == open->second.wanted.end() || team == m_teams.end())
             continue;
         team->second.asked.erase(grant.share);
+        team->second.fill[grant.share] = amount.fill;
         double tokens = std::min(amount.tokens, wanted->second);
-        if (tokens >= 1 - unused)
+        if (tokens >= 1 - rounding)
             team->second.lots.push_back({lapsesAt, tokens});
         if (tokens < wanted->second)
             team->second.emptyUntil[grant.share] = now + emptyShareRest;
--- a/src/kernel/kernel.cpp
+++ b/src/kernel/kernel.cpp
@@ -39,8 +39,8 @@
     }
     Entry &entry = m_entries[found->second];
     if (entry.type != type) {
-        m_lastError = Error {ErrorKind::NodeNotReady,
-                             fmt::format("service \"{}\" has another type", name)};
+        m_lastError =
+            Error {ErrorKind::NodeNotReady, fmt::format("service \"{}\" has another type", name)};
         return nullptr;
     }
     return entry.holder.get();
--- a/src/policy/object_reader.cpp
+++ b/src/policy/object_reader.cpp
@@ -19,8 +19,8 @@
     std::string_view before = text.substr(0, std::min(offset, text.size()));
     auto line = 1 + std::count(before.begin(), before.end(), '\n');
     std::size_t lineStart = before.rfind('\n');
-    std::size_t column
-        = lineStart == std::string_view::npos ? before.size() + 1 : before.size() - lineStart;
+    std::size_t column =
+        lineStart == std::string_view::npos ? before.size() + 1 : before.size() - lineStart;
     return fmt::format("line {}, column {}", line, column);
 }
 
@@ -50,7 +50,7 @@
     return parser.release();
 }
 
-void FaultList::add(std::string path, std::string_view fault)
+void FaultList::add(const std::string &path, std::string_view fault)
 {
     m_faults.push_back(fmt::format("{}: {}", path.empty() ? "document" : path, fault));
 }
--- a/src/policy/policy_document.cpp
+++ b/src/policy/policy_document.cpp
@@ -15,8 +15,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 6> sections {"defaults", "routes", "teams",
-                                                    "keys", "zones_out", "exceptions"};
+constexpr std::array<std::string_view, 6> sections {"defaults", "routes",    "teams",
+                                                    "keys",     "zones_out", "exceptions"};
 constexpr NumberRange deadlineRange {1, 600'000}; // milliseconds
 constexpr NumberRange rateRange {0, 10'000'000}; // requests a second
 constexpr NumberRange weightRange {0.01, 1000};
@@ -225,8 +225,8 @@
             continue;
         }
         for (const auto &item : child->as_object())
-            document.entries[fmt::format("{}/{}", section, view(item.key()))]
-                = json::serialize(item.value());
+            document.entries[fmt::format("{}/{}", section, view(item.key()))] =
+                json::serialize(item.value());
     }
     reader.finish();
     if (!faults.isEmpty()) {
--- a/src/transport/asio.h
+++ b/src/transport/asio.h
@@ -18,8 +18,7 @@
 using asio::ip::tcp;
 using asio::ip::udp;
 
-template<typename T>
-using Task = asio::awaitable<T>;
+template<typename T> using Task = asio::awaitable<T>;
 
 /** Completion token that gives the error code in place of an exception. */
 inline constexpr auto asResult = asio::as_tuple(asio::use_awaitable);
@@ -44,8 +43,7 @@
 }
 
 /** Runs @p task for at most @p limit; nothing when the time ran out and the task was cancelled. */
-template<typename T>
-Task<std::optional<T>> withTimeout(Task<T> task, Duration limit)
+template<typename T> Task<std::optional<T>> withTimeout(Task<T> task, Duration limit)
 {
     using namespace asio::experimental::awaitable_operators;
     auto ended = co_await (std::move(task) || sleepFor(limit));
--- a/src/transport/front.cpp
+++ b/src/transport/front.cpp
@@ -133,8 +133,7 @@
     std::string team = entered ? entered->context.team : "";
     PriorityClass priority = entered ? entered->context.priority : PriorityClass::Normal;
     if (HttpAnswer *answer = std::get_if<HttpAnswer>(&result)) {
-        m_metrics.answered(entered ? entered->route.name : "", team, priority,
-                           steadyNow() - start);
+        m_metrics.answered(entered ? entered->route.name : "", team, priority, steadyNow() - start);
         answer->headers.push_back({std::string(headers::requestId), requestId});
         return std::move(*answer);
     }
--- a/src/transport/gossip.cpp
+++ b/src/transport/gossip.cpp
@@ -40,9 +40,9 @@
     if (!ec)
         m_socket.non_blocking(true, ec);
     if (ec) {
-        m_lastError
-            = Error {ErrorKind::InvalidSetting,
-                     fmt::format("cannot bind UDP {}: {}", toString(endpoint), ec.message())};
+        m_lastError =
+            Error {ErrorKind::InvalidSetting,
+                   fmt::format("cannot bind UDP {}: {}", toString(endpoint), ec.message())};
         return false;
     }
     asio::co_spawn(m_context, receiveLoop(), asio::detached);
@@ -113,8 +113,8 @@
     std::string buffer(64u << 10, '\0');
     udp::endpoint sender;
     for (;;) {
-        auto [ec, size]
-            = co_await m_socket.async_receive_from(asio::buffer(buffer), sender, asResult);
+        auto [ec, size] =
+            co_await m_socket.async_receive_from(asio::buffer(buffer), sender, asResult);
         if (ec == asio::error::operation_aborted)
             co_return;
         if (!ec)
--- a/src/transport/http_messages.h
+++ b/src/transport/http_messages.h
@@ -35,8 +35,7 @@
     }
 }
 
-template<class Fields>
-std::vector<HeaderField> endToEndFields(const Fields &fields)
+template<class Fields> std::vector<HeaderField> endToEndFields(const Fields &fields)
 {
     std::vector<HeaderField> result;
     for (const auto &field : fields) {
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -77,9 +77,9 @@
     if (!ec)
         m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
     if (ec) {
-        m_lastError = Error {ErrorKind::InvalidSetting,
-                             fmt::format("cannot listen on {}: {}", toString(endpoint),
-                                         ec.message())};
+        m_lastError =
+            Error {ErrorKind::InvalidSetting,
+                   fmt::format("cannot listen on {}: {}", toString(endpoint), ec.message())};
         return false;
     }
     asio::co_spawn(m_context, acceptLoop(), asio::detached);
@@ -170,7 +170,7 @@
     auto writing = http::async_write(session.socket, response, asResult);
     auto written = co_await withTimeout(std::move(writing), m_limits.slowClient);
     session.busy = false;
-    co_return goesOn && written && !std::get<0>(*written) && !m_stopping;
+    co_return goesOn &&written && !std::get<0>(*written) && !m_stopping;
 }
 
 Task<void> HttpServer::refuse(tcp::socket &socket, int status, std::string_view text)
--- a/src/transport/lease_service.cpp
+++ b/src/transport/lease_service.cpp
@@ -18,8 +18,8 @@
     boost::json::object object;
     object["holder"] = record.holder;
     object["nonce"] = record.nonce;
-    object["duration_ms"]
-        = std::chrono::duration_cast<std::chrono::milliseconds>(record.duration).count();
+    object["duration_ms"] =
+        std::chrono::duration_cast<std::chrono::milliseconds>(record.duration).count();
     return boost::json::serialize(object);
 }
 
@@ -97,8 +97,8 @@
 {
     TimePoint sentAt = steadyNow();
     std::string value = writeRecord(effect.record);
-    PlatformReply reply
-        = co_await m_platform.put(leaseObjectName(effect.lease), effect.ifVersion, value);
+    PlatformReply reply =
+        co_await m_platform.put(leaseObjectName(effect.lease), effect.ifVersion, value);
     if (const PlatformObject *object = std::get_if<PlatformObject>(&reply)) {
         effect.record.version = object->version;
         m_leases.onWritten(sentAt, effect.lease, effect.record);
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -50,8 +50,8 @@
 std::string format(std::string_view level, std::string_view event,
                    const std::vector<LogField> &fields)
 {
-    auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
-        std::chrono::system_clock::now());
+    auto now =
+        std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
     auto millis = now.time_since_epoch() % 1s;
     std::string line = fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}", fmt::gmtime(now),
                                    millis.count(), level, event);
@@ -109,9 +109,9 @@
     Repetition &repetition = found->second;
     if (now - repetition.windowStart >= repetitionWindow) {
         if (repetition.leftOut > 0)
-            append(format("warning", "lines-left-out",
-                          {{"event", std::string(event)},
-                           {"count", fmt::to_string(repetition.leftOut)}}));
+            append(format(
+                "warning", "lines-left-out",
+                {{"event", std::string(event)}, {"count", fmt::to_string(repetition.leftOut)}}));
         repetition = {now, 0, 0};
     }
     if (++repetition.lines > linesOfOneKind) {
--- a/src/transport/operator_session.cpp
+++ b/src/transport/operator_session.cpp
@@ -30,8 +30,7 @@
 }
 
 /** Runs a task to its end on a context of its own. */
-template<typename T>
-T runTask(asio::io_context &context, Task<T> task)
+template<typename T> T runTask(asio::io_context &context, Task<T> task)
 {
     std::optional<T> result;
     auto keep = [&result](std::exception_ptr, T value) { result = std::move(value); };
@@ -59,8 +58,9 @@
     PlatformReply put(std::uint64_t ifVersion, const StoredPolicy &stored)
     {
         PlatformClient platform(platformEndpoint);
-        return runTask(context, platform.put(std::string(policyObjectName), ifVersion,
-                                             writeStoredPolicy(stored)));
+        return runTask(
+            context,
+            platform.put(std::string(policyObjectName), ifVersion, writeStoredPolicy(stored)));
     }
 };
 
@@ -114,11 +114,11 @@
         if (stored->hasChange(id))
             return stored->document.version;
         if (before && !isIndependent(change, *before, stored->document)) {
-            m_parts->lastError
-                = Error {ErrorKind::VersionConflict,
-                         fmt::format("another operator changed the same entries (version {}); "
-                                     "nothing was written",
-                                     stored->document.version)};
+            m_parts->lastError =
+                Error {ErrorKind::VersionConflict,
+                       fmt::format("another operator changed the same entries (version {}); "
+                                   "nothing was written",
+                                   stored->document.version)};
             return std::nullopt;
         }
         before = stored->document;
@@ -146,11 +146,10 @@
     HttpRequest request {"GET", path, {}, {}};
     if (!m_parts->token.empty())
         request.headers.push_back({"authorization", "Bearer " + m_parts->token});
-    CallResult result
-        = runTask(m_parts->context, client.exchange(std::move(request), pageLimit));
+    CallResult result = runTask(m_parts->context, client.exchange(std::move(request), pageLimit));
     if (const Refusal *refusal = std::get_if<Refusal>(&result)) {
-        m_parts->lastError = Error {refusal->kind, fmt::format("{}: {}", toString(node),
-                                                               refusal->detail)};
+        m_parts->lastError =
+            Error {refusal->kind, fmt::format("{}: {}", toString(node), refusal->detail)};
         return std::nullopt;
     }
     HttpAnswer &answer = std::get<HttpAnswer>(result);
--- a/src/transport/peer_connection.cpp
+++ b/src/transport/peer_connection.cpp
@@ -42,13 +42,13 @@
 Task<bool> PeerConnection::writeAll(std::span<const char> bytes, Duration silence)
 {
     while (!bytes.empty()) {
-        auto writing
-            = m_socket.async_write_some(asio::buffer(bytes.data(), bytes.size()), asResult);
+        auto writing =
+            m_socket.async_write_some(asio::buffer(bytes.data(), bytes.size()), asResult);
         auto written = co_await withTimeout(std::move(writing), silence);
         if (!written || std::get<0>(*written)) {
-            m_lastError
-                = Error {ErrorKind::ConnectionLost, written ? std::get<0>(*written).message()
-                                                            : "the connection takes no bytes"};
+            m_lastError =
+                Error {ErrorKind::ConnectionLost,
+                       written ? std::get<0>(*written).message() : "the connection takes no bytes"};
             co_return false;
         }
         bytes = bytes.subspan(std::get<1>(*written));
@@ -71,8 +71,8 @@
     bool whole = co_await readAll(prefix, silence);
     if (!whole)
         co_return std::nullopt;
-    std::size_t left
-        = boost::endian::load_little_u32(reinterpret_cast<unsigned char *>(prefix.data()));
+    std::size_t left =
+        boost::endian::load_little_u32(reinterpret_cast<unsigned char *>(prefix.data()));
     if (left > maximumPeerMessageBytes) {
         m_lastError = Error {ErrorKind::MalformedMessage, "message too long"};
         co_return std::nullopt;
--- a/src/transport/peer_server.cpp
+++ b/src/transport/peer_server.cpp
@@ -35,9 +35,9 @@
     if (!ec)
         m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
     if (ec) {
-        m_lastError
-            = Error {ErrorKind::InvalidSetting,
-                     fmt::format("cannot listen on {}: {}", toString(endpoint), ec.message())};
+        m_lastError =
+            Error {ErrorKind::InvalidSetting,
+                   fmt::format("cannot listen on {}: {}", toString(endpoint), ec.message())};
         return false;
     }
     asio::co_spawn(m_context, acceptLoop(), asio::detached);
--- a/src/transport/platform_client.cpp
+++ b/src/transport/platform_client.cpp
@@ -73,11 +73,11 @@
 Task<PlatformReply> PlatformClient::watch(std::string name, std::uint64_t after, Duration wait)
 {
     auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait);
-    HttpRequest request {"GET",
-                         fmt::format("/watch/{}?after={}&wait_ms={}", name, after,
-                                     milliseconds.count()),
-                         {},
-                         {}};
+    HttpRequest request {
+        "GET",
+        fmt::format("/watch/{}?after={}&wait_ms={}", name, after, milliseconds.count()),
+        {},
+        {}};
     co_return co_await send(std::move(request), wait + callLimit);
 }
 
--- a/src/transport/platform_sync.cpp
+++ b/src/transport/platform_sync.cpp
@@ -91,9 +91,9 @@
             if (joined)
                 answering.push_back(contact);
         }
-        m_log.write(steadyNow(), LogLevel::Info, "joined",
-                    {{"contacts", fmt::to_string(answering.size())},
-                     {"platform", known ? "up" : "down"}});
+        m_log.write(
+            steadyNow(), LogLevel::Info, "joined",
+            {{"contacts", fmt::to_string(answering.size())}, {"platform", known ? "up" : "down"}});
         if (known && tries < offerTries)
             co_await offerAsContact(version, answering);
         bool settled = known && (!answering.empty() || tries >= offerTries);
@@ -118,15 +118,15 @@
 Task<void> PlatformSync::watchPolicy()
 {
     for (;;) {
-        bool watches
-            = !m_policy.isReady() || isPolicyWatcher(m_membership.self(), m_membership.present());
+        bool watches =
+            !m_policy.isReady() || isPolicyWatcher(m_membership.self(), m_membership.present());
         if (!watches) {
             co_await sleepFor(watcherCheckInterval);
             continue;
         }
         std::uint64_t after = std::max(m_seenVersion, m_policy.version());
-        PlatformReply reply
-            = co_await m_platform.watch(std::string(policyObjectName), after, watchWait);
+        PlatformReply reply =
+            co_await m_platform.watch(std::string(policyObjectName), after, watchWait);
         const PlatformObject *object = std::get_if<PlatformObject>(&reply);
         if (object && object->version > after) {
             m_seenVersion = object->version;
--- a/src/transport/rate_service.cpp
+++ b/src/transport/rate_service.cpp
@@ -86,8 +86,7 @@
 void RateService::sendAsks()
 {
     auto distance = [this](std::uint32_t share) { return distanceTo(share); };
-    std::vector<SendTokenAsk> asks
-        = m_purse.takeAsks(steadyNow(), m_policy.policy(), distance);
+    std::vector<SendTokenAsk> asks = m_purse.takeAsks(steadyNow(), m_policy.policy(), distance);
     for (SendTokenAsk &ask : asks) {
         const Member *holder = m_membership.holderOf(ask.share);
         if (!holder)
@@ -119,14 +118,14 @@
     const Policy &policy = m_policy.policy();
     for (const TokenAmount &wanted : ask.wanted) {
         const TeamPolicy &team = policy.team(wanted.team);
-        std::vector<std::uint32_t> shares
-            = sharesOfTeam(wanted.team, team, policy.defaults.rateShares);
+        std::vector<std::uint32_t> shares =
+            sharesOfTeam(wanted.team, team, policy.defaults.rateShares);
         bool mintsHere = std::find(shares.begin(), shares.end(), ask.share) != shares.end();
-        double tokens = 0;
+        GrantedTokens granted {wanted.team, 0, 0};
         if (since && mintsHere)
-            tokens = held->second.share.grant(now, wanted.team, team,
-                                              static_cast<int>(shares.size()), wanted.tokens);
-        grant.granted.push_back({wanted.team, tokens});
+            granted = held->second.share.grant(now, wanted.team, team,
+                                               static_cast<int>(shares.size()), wanted.tokens);
+        grant.granted.push_back(std::move(granted));
     }
     return grant;
 }
--- a/src/transport/target_service.cpp
+++ b/src/transport/target_service.cpp
@@ -125,17 +125,17 @@
         co_return answer(call, *refusal, ended);
     TimePoint arrivedAt = steadyNow();
     double weight = m_policy.policy().team(call.context.team).weight;
-    Arrival arrival {call.route, call.context, weight,
-                     m_paths.fraction(arrivedAt, keyBelow(call))};
+    Arrival arrival {call.route, call.context, weight, m_paths.fraction(arrivedAt, keyBelow(call))};
     call.context.admittedFraction = m_admission.fractionHandedOn(arrival);
     std::vector<AdmissionEffect> effects = m_admission.arrive(arrivedAt, arrival);
     AdmissionEffect own = effects.front();
     effects.erase(effects.begin());
     apply(effects);
     if (const RefuseCall *refused = std::get_if<RefuseCall>(&own)) {
-        Refusal refusal = notRun(refused->kind, fmt::format("limit {}, {} in flight, {} queued",
-                                                            m_admission.limit(), inFlight(),
-                                                            m_admission.queued()));
+        Refusal refusal =
+            notRun(refused->kind,
+                   fmt::format("limit {}, {} in flight, {} queued", m_admission.limit(), inFlight(),
+                               m_admission.queued()));
         co_return answer(call, refusal, ended);
     }
     Ticket ticket = std::visit([](const auto &effect) { return effect.ticket; }, own);
@@ -171,15 +171,15 @@
     std::string token = m_node.makeId();
     m_calls.start(steadyNow(), token, call.context);
     slot.started(token);
-    CallResult result
-        = co_await m_backend.exchange(backendRequest(call, token), call.context.timeLeft);
+    CallResult result =
+        co_await m_backend.exchange(backendRequest(call, token), call.context.timeLeft);
     ended = slot.endCall();
     if (ended.callsBelow > 0)
         m_paths.onAnswer(steadyNow(), keyBelow(call), ended.pathFraction);
     Duration slotTime = steadyNow() - slot.startedAt();
     WorkOutcome outcome = outcomeOf(result);
-    slot.finish({outcome, slotTime, ended.waitedBelow, ended.callsBelow > 0
-                     && outcome == WorkOutcome::Shed});
+    slot.finish({outcome, slotTime, ended.waitedBelow,
+                 ended.callsBelow > 0 && outcome == WorkOutcome::Shed});
     bool ownShedding = outcome == WorkOutcome::Shed && ended.callsBelow == 0;
     if (ownShedding)
         result = Refusal {ErrorKind::BackendShed, "the backend server shed the request",
@@ -207,9 +207,8 @@
     AnswerMessage message;
     message.callId = call.callId;
     message.load = m_admission.report(call.context.priority, call.context.team);
-    message.load.pathFraction
-        = std::min({message.load.pathFraction, ended.pathFraction,
-                    m_paths.fraction(steadyNow(), keyBelow(call))});
+    message.load.pathFraction = std::min({message.load.pathFraction, ended.pathFraction,
+                                          m_paths.fraction(steadyNow(), keyBelow(call))});
     message.retriesLeft = ended.retriesLeft;
     const Refusal *refusal = std::get_if<Refusal>(&result);
     std::string outcome = refusal ? std::string(answerFor(refusal->kind).name) : "answered";
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -15,16 +15,14 @@
 constexpr std::size_t readChunkBytes = 64u << 10;
 } // namespace
 
-template<class Archive>
-void save(Archive &archive, const std::string &text)
+template<class Archive> void save(Archive &archive, const std::string &text)
 {
     archive(static_cast<std::uint32_t>(text.size()));
     archive(binary_data(text.data(), text.size()));
 }
 
 /** Reads in chunks: a false length ends at the end of the input after at most one chunk. */
-template<class Archive>
-void load(Archive &archive, std::string &text)
+template<class Archive> void load(Archive &archive, std::string &text)
 {
     std::uint32_t left = 0;
     archive(left);
@@ -38,14 +36,12 @@
     }
 }
 
-template<class Archive>
-void save(Archive &archive, const ibiswell::Duration &duration)
+template<class Archive> void save(Archive &archive, const ibiswell::Duration &duration)
 {
     archive(static_cast<std::int64_t>(duration.count()));
 }
 
-template<class Archive>
-void load(Archive &archive, ibiswell::Duration &duration)
+template<class Archive> void load(Archive &archive, ibiswell::Duration &duration)
 {
     std::int64_t count = 0;
     archive(count);
@@ -56,16 +52,14 @@
  * Sequences are read element by element: a false length then ends at the end of the input, in
  * place of an allocation of that length.
  */
-template<class Archive, class T>
-void save(Archive &archive, const std::vector<T> &values)
+template<class Archive, class T> void save(Archive &archive, const std::vector<T> &values)
 {
     archive(static_cast<std::uint32_t>(values.size()));
     for (const T &value : values)
         archive(value);
 }
 
-template<class Archive, class T>
-void load(Archive &archive, std::vector<T> &values)
+template<class Archive, class T> void load(Archive &archive, std::vector<T> &values)
 {
     std::uint32_t count = 0;
     archive(count);
@@ -76,14 +70,12 @@
         archive(values.emplace_back());
 }
 
-template<class Archive>
-void save(Archive &archive, const std::monostate &)
+template<class Archive> void save(Archive &archive, const std::monostate &)
 {
     archive(std::uint8_t {0});
 }
 
-template<class Archive>
-void load(Archive &archive, std::monostate &)
+template<class Archive> void load(Archive &archive, std::monostate &)
 {
     std::uint8_t ignored = 0;
     archive(ignored);
@@ -93,105 +85,86 @@
 
 namespace ibiswell {
 
-template<class A>
-void serialize(A &a, Endpoint &m)
+template<class A> void serialize(A &a, Endpoint &m)
 {
     a(m.address, m.port);
 }
 
-template<class A>
-void serialize(A &a, Member &m)
+template<class A> void serialize(A &a, Member &m)
 {
     a(m.node, m.service, m.zone, m.endpoint, m.httpPort, m.incarnation, m.state, m.leases);
 }
 
-template<class A>
-void serialize(A &a, HeaderField &m)
+template<class A> void serialize(A &a, HeaderField &m)
 {
     a(m.name, m.value);
 }
 
-template<class A>
-void serialize(A &a, HttpRequest &m)
+template<class A> void serialize(A &a, HttpRequest &m)
 {
     a(m.method, m.path, m.headers, m.body);
 }
 
-template<class A>
-void serialize(A &a, HttpAnswer &m)
+template<class A> void serialize(A &a, HttpAnswer &m)
 {
     a(m.status, m.headers, m.body);
 }
 
-template<class A>
-void serialize(A &a, Refusal &m)
+template<class A> void serialize(A &a, Refusal &m)
 {
     a(m.kind, m.detail, m.execution);
 }
 
-template<class A>
-void serialize(A &a, CallContext &m)
+template<class A> void serialize(A &a, CallContext &m)
 {
     a(m.requestId, m.team, m.priority, m.admissionDraw, m.admittedFraction, m.timeLeft, m.depth,
       m.attempt, m.retriesLeft);
 }
 
-template<class A>
-void serialize(A &a, LoadReport &m)
+template<class A> void serialize(A &a, LoadReport &m)
 {
     a(m.pathFraction, m.inFlight, m.queued, m.limit, m.serviceTime);
 }
 
-template<class A>
-void serialize(A &a, CallMessage &m)
+template<class A> void serialize(A &a, CallMessage &m)
 {
     a(m.callId, m.service, m.route, m.context, m.request);
 }
 
-template<class A>
-void serialize(A &a, AnswerMessage &m)
+template<class A> void serialize(A &a, AnswerMessage &m)
 {
     a(m.callId, m.result, m.load, m.retriesLeft);
 }
 
-template<class A>
-void serialize(A &a, WorkingMessage &m)
+template<class A> void serialize(A &a, WorkingMessage &m)
 {
     a(m.callId);
 }
 
-template<class A>
-void serialize(A &, RosterRequest &)
-{
-}
+template<class A> void serialize(A &, RosterRequest &) { }
 
-template<class A>
-void serialize(A &a, RosterAnswer &m)
+template<class A> void serialize(A &a, RosterAnswer &m)
 {
     a(m.members);
 }
 
-template<class A>
-void serialize(A &a, PolicyPull &m)
+template<class A> void serialize(A &a, PolicyPull &m)
 {
     a(m.haveVersion);
 }
 
-template<class A>
-void serialize(A &a, PolicyEdit &m)
+template<class A> void serialize(A &a, PolicyEdit &m)
 {
     a(m.entry, m.json);
 }
 
-template<class A>
-void serialize(A &a, PolicyDelta &m)
+template<class A> void serialize(A &a, PolicyDelta &m)
 {
     a(m.from, m.to, m.edits);
 }
 
 /** An entry of a PolicyDocument, which is sent as a sequence of its entries. */
-template<class A>
-void save(A &a, const PolicyDocument &m)
+template<class A> void save(A &a, const PolicyDocument &m)
 {
     std::vector<HeaderField> entries;
     for (const auto &[name, text] : m.entries)
@@ -199,8 +172,7 @@
     a(m.version, entries);
 }
 
-template<class A>
-void load(A &a, PolicyDocument &m)
+template<class A> void load(A &a, PolicyDocument &m)
 {
     std::vector<HeaderField> entries;
     a(m.version, entries);
@@ -209,94 +181,70 @@
         m.entries[entry.name] = std::move(entry.value);
 }
 
-template<class A>
-void serialize(A &a, PolicyAnswer &m)
+template<class A> void serialize(A &a, PolicyAnswer &m)
 {
     a(m.news);
 }
 
-template<class A>
-void serialize(A &a, KeyClaim &m)
+template<class A> void serialize(A &a, KeyClaim &m)
 {
     a(m.team, m.key, m.firstAttempt);
 }
 
-template<class A>
-void serialize(A &, KeyGranted &)
-{
-}
+template<class A> void serialize(A &, KeyGranted &) { }
 
-template<class A>
-void serialize(A &a, KeyDone &m)
+template<class A> void serialize(A &a, KeyDone &m)
 {
     a(m.answer);
 }
 
-template<class A>
-void serialize(A &a, KeyClaimAnswer &m)
+template<class A> void serialize(A &a, KeyClaimAnswer &m)
 {
     a(m.verdict);
 }
 
-template<class A>
-void serialize(A &a, KeySettled &m)
+template<class A> void serialize(A &a, KeySettled &m)
 {
     a(m.team, m.key, m.result);
 }
 
-template<class A>
-void serialize(A &, KeySettledAnswer &)
-{
-}
+template<class A> void serialize(A &, KeySettledAnswer &) { }
 
-template<class A>
-void serialize(A &a, Probe &m)
+template<class A> void serialize(A &a, Probe &m)
 {
     a(m.sequence);
 }
 
-template<class A>
-void serialize(A &a, ProbeAck &m)
+template<class A> void serialize(A &a, ProbeAck &m)
 {
     a(m.sequence);
 }
 
-template<class A>
-void serialize(A &a, ProbeRequest &m)
+template<class A> void serialize(A &a, ProbeRequest &m)
 {
     a(m.sequence, m.node, m.endpoint);
 }
 
-template<class A>
-void serialize(A &, PolicyNews &)
-{
-}
+template<class A> void serialize(A &, PolicyNews &) { }
 
-template<class A>
-void serialize(A &, MemberNews &)
-{
-}
+template<class A> void serialize(A &, MemberNews &) { }
 
-template<class A>
-void serialize(A &a, TokenAmount &m)
+template<class A> void serialize(A &a, TokenAmount &m)
 {
     a(m.team, m.tokens);
 }
 
-template<class A>
-void serialize(A &a, TokenAsk &m)
+template<class A> void serialize(A &a, TokenAsk &m)
 {
     a(m.sequence, m.share, m.wanted);
 }
 
-template<class A>
-void serialize(A &a, TokenGrant &m)
+template<class A> void serialize(A &a, TokenGrant &m)
 {
     a(m.sequence, m.share, m.granted, m.validFor);
 }
 
-template<class A>
-void serialize(A &a, Datagram &m)
+template<class A> void serialize(A &a, Datagram &m)
 {
     a(m.sender, m.senderEndpoint, m.policyVersion, m.updates, m.body);
 }
@@ -315,8 +263,7 @@
     bool isAtEnd() const { return gptr() == egptr(); }
 };
 
-template<class Message>
-std::string encodeMessage(const Message &message)
+template<class Message> std::string encodeMessage(const Message &message)
 {
     std::ostringstream stream;
     cereal::PortableBinaryOutputArchive archive(stream);
@@ -324,8 +271,7 @@
     return std::move(stream).str();
 }
 
-template<class Message>
-std::optional<Message> decodeMessage(std::string_view bytes, Error &error)
+template<class Message> std::optional<Message> decodeMessage(std::string_view bytes, Error &error)
 {
     ViewBuffer buffer(bytes);
     std::istream stream(&buffer);
@@ -376,11 +322,7 @@
     bool operator()(const RosterAnswer &m) const { return members(m.members); }
     bool operator()(const TokenAsk &m) const { return amounts(m.wanted); }
     bool operator()(const TokenGrant &m) const { return amounts(m.granted); }
-    template<class Other>
-    bool operator()(const Other &) const
-    {
-        return true;
-    }
+    template<class Other> bool operator()(const Other &) const { return true; }
 
     bool members(const std::vector<Member> &members) const
     {
@@ -392,9 +334,10 @@
     }
 
 private:
-    bool amounts(const std::vector<TokenAmount> &amounts) const
+    template<class Amount>
+    bool amounts(const std::vector<Amount> &amounts) const
     {
-        for (const TokenAmount &amount : amounts) {
+        for (const Amount &amount : amounts) {
             if (!(amount.tokens >= 0 && amount.tokens <= 1e9))
                 return false;
         }
--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -143,10 +143,8 @@
     Task<int> callBelow(std::string call, std::string token)
     {
         std::size_t space = call.find(' ');
-        HttpRequest request {call.substr(0, space),
-                             call.substr(space + 1),
-                             {{"x-ibiswell-call", token}},
-                             ""};
+        HttpRequest request {
+            call.substr(0, space), call.substr(space + 1), {{"x-ibiswell-call", token}}, ""};
         CallResult result = co_await m_node.exchange(std::move(request), 10s);
         const HttpAnswer *answer = std::get_if<HttpAnswer>(&result);
         co_return answer ? answer->status : 502;
@@ -212,10 +210,10 @@
     namespace po = boost::program_options;
     BackendOptions given;
     po::options_description options("Usage: backend_standin --port PORT [options]");
-    options.add_options()("help", "print this text and exit")(
-        "port", po::value(&given.port), "port on loopback")(
-        "name", po::value(&given.name), "name in the answers")(
-        "slots", po::value(&given.slots), "pieces of work at once")(
+    options.add_options()("help", "print this text and exit")("port", po::value(&given.port),
+                                                              "port on loopback")(
+        "name", po::value(&given.name), "name in the answers")("slots", po::value(&given.slots),
+                                                               "pieces of work at once")(
         "connections", po::value(&given.connections), "pieces of work held before it sheds")(
         "service-ms", po::value(&given.serviceMs), "length of a piece of work")(
         "cold-work", po::value(&given.coldWork), "pieces of work until it is warm")(
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -118,8 +118,8 @@
     {
         std::string name = nameIn(request.path, "/watch/");
         std::uint64_t after = numberAfter(request.path, "after=");
-        TimePoint until
-            = steadyNow() + std::chrono::milliseconds(numberAfter(request.path, "wait_ms="));
+        TimePoint until =
+            steadyNow() + std::chrono::milliseconds(numberAfter(request.path, "wait_ms="));
         while (steadyNow() < until && !m_faults.down && versionOf(name) <= after) {
             auto change = m_changed.async_wait(asResult);
             co_await withTimeout(std::move(change), std::min<Duration>(100ms, until - steadyNow()));
--- a/tools/ibiswell.cpp
+++ b/tools/ibiswell.cpp
@@ -22,8 +22,15 @@
 
 namespace {
 
-enum ExitCode { Ok = 0, Failed = 1, UsageError = 2, InvalidInput = 3, Unreachable = 4, Conflict = 5,
-                NotInForce = 6 };
+enum ExitCode {
+    Ok = 0,
+    Failed = 1,
+    UsageError = 2,
+    InvalidInput = 3,
+    Unreachable = 4,
+    Conflict = 5,
+    NotInForce = 6
+};
 
 constexpr std::string_view usage = R"(Usage: ibiswell COMMAND [ARGUMENTS] [OPTIONS]
 
@@ -253,11 +260,12 @@
                json::serialize(root.at("node")), json::serialize(root.at("policy_version")),
                json::serialize(root.at("limit")), json::serialize(root.at("in_flight")),
                json::serialize(root.at("queued")), json::serialize(root.at("worst_fraction")));
-    fmt::print("{:<20} {:<14} {:<14} {:<22} {:<8} {}\n", "NODE", "SERVICE", "ZONE", "HTTP",
-               "STATE", "LEASES");
+    fmt::print("{:<20} {:<14} {:<14} {:<22} {:<8} {}\n", "NODE", "SERVICE", "ZONE", "HTTP", "STATE",
+               "LEASES");
     for (const json::value &member : root.at("members").as_array()) {
         auto text = [&](std::string_view field) {
-            return std::string(member.at(json::string_view(field.data(), field.size())).as_string());
+            return std::string(
+                member.at(json::string_view(field.data(), field.size())).as_string());
         };
         fmt::print("{:<20} {:<14} {:<14} {:<22} {:<8} {}\n", text("node"), text("service"),
                    text("zone"),
@@ -344,14 +352,14 @@
     po::options_description options("Options");
     options.add_options()("help", "print this text and exit")("version", "print the version")(
         "platform", po::value(&arguments.platform)->default_value(arguments.platform),
-        "the platform, ADDRESS:PORT")(
-        "node", po::value(&arguments.node)->default_value(arguments.node),
-        "HTTP address of any node, ADDRESS:PORT")(
+        "the platform, ADDRESS:PORT")("node",
+                                      po::value(&arguments.node)->default_value(arguments.node),
+                                      "HTTP address of any node, ADDRESS:PORT")(
         "token", po::value(&arguments.token), "operator token; or IBISWELL_TOKEN")(
         "reason", po::value(&arguments.reason), "the written reason")(
         "applies-to", po::value(&arguments.appliesTo), "route:NAME or team:NAME")(
-        "set", po::value(&arguments.set), "JSON object of the changed fields")(
-        "team", po::value(&arguments.team), "team of a key")(
+        "set", po::value(&arguments.set),
+        "JSON object of the changed fields")("team", po::value(&arguments.team), "team of a key")(
         "wait", po::value(&arguments.waitSeconds)->default_value(arguments.waitSeconds),
         "seconds to wait until a change is in force everywhere; 0: do not wait")(
         "json", po::bool_switch(&arguments.asJson), "print JSON for scripts");
@@ -381,7 +389,8 @@
         fmt::print("ibiswell 0.1.0\n");
         return Ok;
     }
-    bool wantsHelp = given.count("help") != 0 || (!arguments.words.empty() && arguments.words[0] == "help");
+    bool wantsHelp =
+        given.count("help") != 0 || (!arguments.words.empty() && arguments.words[0] == "help");
     if (wantsHelp || arguments.words.empty()) {
         std::cout << usage << "\n" << visible;
         return wantsHelp ? Ok : UsageError;
--- a/tools/ibiswelld.cpp
+++ b/tools/ibiswelld.cpp
@@ -42,10 +42,10 @@
 {
     std::string path;
     po::options_description options("Usage: ibiswelld --settings FILE\n\nOptions");
-    options.add_options()("help", "print this text and exit")(
-        "version", "print the version and exit")(
-        "settings", po::value(&path), "settings of this node, JSON with comments")(
-        "check", "check the settings and exit");
+    options.add_options()("help", "print this text and exit")("version",
+                                                              "print the version and exit")(
+        "settings", po::value(&path),
+        "settings of this node, JSON with comments")("check", "check the settings and exit");
     po::variables_map given;
     try {
         po::store(po::parse_command_line(argc, argv, options), given);
