--- a/include/ibiswell/decisions/demand_shares.h
+++ b/include/ibiswell/decisions/demand_shares.h
@@ -15,7 +15,7 @@
     int limit = 1; ///< Slots.
     bool limitIsFelt = true; ///< False: the backend server may bear more than the limit.
     int inFlight = 0;
-    int queued = 0;
+    Duration queueDelay {}; ///< What a new call of a middle class would wait.
 };
 
 /**
--- a/src/decisions/demand_shares.cpp
+++ b/src/decisions/demand_shares.cpp
@@ -13,15 +13,16 @@
 constexpr Duration memoryOfDemand = 400ms;
 constexpr Duration refreshInterval = 20ms;
 constexpr Duration idleTeamForgotten = 30s;
-constexpr double wantedUse = 0.95; // of the limit
+constexpr Duration longQueue = 15ms;
 constexpr double steepestFall = 0.8; // of a fraction, in one refresh
 constexpr double steepestRise = 1.1;
-constexpr double gainStep = 0.02; // for a limit used twice as much as wanted
+constexpr double gainStep = 0.005;
 constexpr double smallestGain = 0.7;
 constexpr double largestGain = 2.5;
 constexpr double gainRelaxation = 0.02; // towards 1, each refresh without shedding
 constexpr double unfeltHeadroom = 1.5; // room for a limit that still grows
 constexpr double muchIdleShare = 0.5; // of the limit
+constexpr double idleShare = 0.95; // of the limit; below it slots lie idle
 
 } // namespace
 
@@ -54,7 +55,7 @@
     m_shedding = false;
     // Slots that lie idle speak against the estimated demand, whatever its memory says.
     bool isIdle = occupancy.inFlight < muchIdleShare * occupancy.limit
-        && occupancy.queued == 0;
+        && occupancy.queueDelay == Duration::zero();
     for (Teams &teams : m_classes)
         capacity -= allocate(teams, std::max(0.0, capacity), now, isIdle);
 }
@@ -91,14 +92,13 @@
     return capacity - left;
 }
 
-/** Steers towards slots that are all but full; a queue counts as slots that are missing. */
 void DemandShares::correctGain(const TargetOccupancy &occupancy)
 {
-    double used = static_cast<double>(occupancy.inFlight + occupancy.queued) / occupancy.limit;
-    double error = std::clamp(used / wantedUse - 1, -1.0, 1.0);
-    if (m_shedding || error > 0)
-        m_gain *= 1 - gainStep * error;
-    else
+    if (occupancy.queueDelay > longQueue)
+        m_gain *= 1 - gainStep;
+    else if (m_shedding && occupancy.inFlight < idleShare * occupancy.limit)
+        m_gain *= 1 + gainStep;
+    else if (!m_shedding)
         m_gain += gainRelaxation * (1 - m_gain);
     m_gain = std::clamp(m_gain, smallestGain, largestGain);
 }
--- a/src/decisions/target_admission.cpp
+++ b/src/decisions/target_admission.cpp
@@ -44,7 +44,7 @@
 
 TargetOccupancy TargetAdmission::occupancy() const
 {
-    return {limit(), m_limit.isFelt(), inFlight(), static_cast<int>(m_queue.size())};
+    return {limit(), m_limit.isFelt(), inFlight(), queueDelay(PriorityClass::Bulk)};
 }
 
 void TargetAdmission::noteSlotTime(const std::string &route, Duration slotTime)
