Count and measure the costs at the planned size; take leases by a hash ring

Cause: the plan gives a node 2.9% of a core for control, and who takes a lease was worked out by hashing each member for each lease, five times a second: 19,000 members times 1,024 leases is 19 million hashes a pass. Ruled out: asking the platform who should take a lease (calls would grow with the fleet). Change: a lease goes to the first member on a hash ring; one pass a second over members plus leases. The former way was not measured at this size.

--- /dev/null
+++ b/benchmark/capacity.cpp
@@ -0,0 +1,122 @@
+/**
+ * Measures the slopes of state, time and bytes over the number of known members and works out
+ * the plan's sizes from them. Prints the table of docs/CAPACITY.md.
+ */
+
+#include "fixtures.h"
+
+#include "ibiswell/wire/codec.h"
+
+#include <malloc.h>
+
+#include <chrono>
+
+using namespace ibiswell;
+using namespace ibiswell::benchmarks;
+
+namespace {
+
+constexpr int plannedMembers = 19'000;
+constexpr int plannedServices = 820;
+constexpr double changesEachSecond = 34'000.0 / 86'400;
+constexpr double restartsEachSecond = 2'100.0 / 86'400;
+constexpr double newsForRestart = 4; // leaving, dead or gone, back, leases
+constexpr double udpAndIpHeader = 28; // bytes
+
+std::size_t heapInUse()
+{
+    return mallinfo2().uordblks;
+}
+
+template<typename Work> double secondsFor(int times, Work work)
+{
+    auto start = std::chrono::steady_clock::now();
+    for (int i = 0; i < times; ++i)
+        work();
+    return std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count() / times;
+}
+
+struct Row
+{
+    double members;
+    double heapBytes;
+    double controlSeconds; ///< Processor time for control in one second.
+};
+
+Row measure(int members)
+{
+    std::size_t before = heapInUse();
+    Membership membership = membershipOf(members);
+    Router router("zone-01", std::chrono::microseconds(1500));
+    for (const Member &member : membership.roster())
+        router.onMember(member);
+    auto heap = static_cast<double>(heapInUse() - before);
+    Random random(1);
+    TimePoint now {std::chrono::seconds(1)};
+    double control
+        = secondsFor(200, [&] { controlSecond(membership, now, random, 1024); });
+    return {static_cast<double>(members), heap, control};
+}
+
+double atPlan(const Row &small, const Row &large, double Row::*value)
+{
+    double slope = (large.*value - small.*value) / (large.members - small.members);
+    return large.*value + slope * (plannedMembers - large.members);
+}
+
+} // namespace
+
+int main()
+{
+    std::vector<Row> rows;
+    fmt::print("{:>8}{:>16}{:>14}{:>22}\n", "members", "heap bytes", "bytes/member",
+               "control us each second");
+    for (int members : {10, 100, 1'000, 10'000}) {
+        rows.push_back(measure(members));
+        const Row &row = rows.back();
+        fmt::print("{:>8}{:>16.0f}{:>14.0f}{:>22.1f}\n", members, row.heapBytes,
+                   row.heapBytes / members, row.controlSeconds * 1e6);
+    }
+    double heap = atPlan(rows[2], rows[3], &Row::heapBytes);
+    double control = atPlan(rows[2], rows[3], &Row::controlSeconds);
+
+    PolicyStore store;
+    std::size_t before = heapInUse();
+    PolicyDocument document = policyFor(plannedServices);
+    store.adopt(document);
+    auto policyHeap = static_cast<double>(heapInUse() - before);
+    std::uint64_t version = 1;
+    double adopt = secondsFor(20, [&] {
+        PolicyDelta delta {version, version + 1,
+                           {{"teams/team-0", fmt::format("{{\"rate_per_s\":{}}}", version)}}};
+        store.adopt(PolicyAnswer {std::vector<PolicyDelta> {delta}});
+        ++version;
+    });
+
+    Datagram empty {memberNumber(1).node, memberNumber(1).endpoint, 1, {}, Probe {1}};
+    Datagram oneNews = empty;
+    oneNews.updates.push_back(memberNumber(2));
+    double frame = static_cast<double>(encode(empty).size()) + udpAndIpHeader;
+    double news = static_cast<double>(encode(oneNews).size() - encode(empty).size());
+    PolicyDelta delta {1, 2, {{"teams/team-0", R"({"rate_per_s":200,"burst":400})"}}};
+    double pull = static_cast<double>(
+        encode(PeerMessage(PolicyAnswer {std::vector<PolicyDelta> {delta}})).size()
+        + encode(PeerMessage(PolicyPull {1})).size() + 8);
+    double repeats = 3 * std::ceil(std::log2(plannedMembers + 1));
+    double probes = 4 * frame; // one probe and ack of its own, one of another node
+    double memberNews = 2 * restartsEachSecond * newsForRestart * repeats * news;
+    double policyNews = changesEachSecond * (8 * frame + 2 * pull);
+
+    fmt::print("\nfor one node at {} targets, {} services (extrapolated from the last two rows)\n",
+               plannedMembers, plannedServices);
+    fmt::print("state of members      {:>10.1f} MB\n", heap / 1e6);
+    fmt::print("state of the policy   {:>10.1f} MB\n", policyHeap / 1e6);
+    fmt::print("control               {:>10.3f} % of a core\n", control * 100);
+    fmt::print("policy changes        {:>10.3f} % of a core ({:.2f} ms each, {:.2f}/s)\n",
+               adopt * changesEachSecond * 100, adopt * 1e3, changesEachSecond);
+    fmt::print("probes                {:>10.0f} B/s sent and received\n", probes);
+    fmt::print("news of members       {:>10.0f} B/s sent and received\n", memberNews);
+    fmt::print("policy news and pulls {:>10.0f} B/s sent and received\n", policyNews);
+    fmt::print("sum                   {:>10.0f} B/s of 3000\n", probes + memberNews + policyNews);
+    return 0;
+}
--- /dev/null
+++ b/benchmark/counted_costs.cpp
@@ -0,0 +1,67 @@
+/**
+ * Runs one kind of work a stated number of times, for counting instructions under callgrind.
+ * Usage: counted_costs call|control|policy COUNT
+ */
+
+#include "fixtures.h"
+
+#include <cstdlib>
+#include <string>
+
+using namespace ibiswell;
+using namespace ibiswell::benchmarks;
+
+namespace {
+
+constexpr int plannedMembers = 19'000;
+constexpr int plannedServices = 820;
+constexpr std::uint32_t plannedLeases = 1024;
+
+int runCalls(int count)
+{
+    CallDecisions call(plannedMembers, plannedServices);
+    int answered = 0;
+    for (int i = 0; i < count; ++i)
+        answered += call.run() ? 1 : 0;
+    return answered;
+}
+
+int runControl(int count)
+{
+    Membership membership = membershipOf(plannedMembers);
+    Random random(1);
+    TimePoint now {std::chrono::seconds(1)};
+    std::size_t effects = 0;
+    for (int i = 0; i < count; ++i)
+        effects += controlSecond(membership, now, random, plannedLeases);
+    return static_cast<int>(effects);
+}
+
+int runPolicy(int count)
+{
+    PolicyStore store;
+    PolicyDocument document = policyFor(plannedServices);
+    store.adopt(document);
+    int adopted = 0;
+    for (int i = 0; i < count; ++i) {
+        std::uint64_t version = document.version + static_cast<std::uint64_t>(i);
+        std::string json = fmt::format("{{\"rate_per_s\":{}}}", i + 1);
+        PolicyDelta delta {version, version + 1, {{"teams/team-0", json}}};
+        adopted += store.adopt(PolicyAnswer {std::vector<PolicyDelta> {delta}}) ? 1 : 0;
+    }
+    return adopted;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    if (argc != 3)
+        return 2;
+    std::string kind = argv[1];
+    int count = std::atoi(argv[2]);
+    int done = kind == "call" ? runCalls(count)
+        : kind == "control"   ? runControl(count)
+                              : runPolicy(count);
+    return done >= count ? 0 : 1;
+}
--- /dev/null
+++ b/benchmark/fixtures.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "ibiswell/core/hash.h"
+#include "ibiswell/decisions/entry_admission.h"
+#include "ibiswell/decisions/membership.h"
+#include "ibiswell/decisions/path_table.h"
+#include "ibiswell/decisions/policy_store.h"
+#include "ibiswell/decisions/rate_share.h"
+#include "ibiswell/decisions/retry_policy.h"
+#include "ibiswell/decisions/router.h"
+#include "ibiswell/decisions/target_admission.h"
+#include "ibiswell/decisions/token_purse.h"
+
+#include <fmt/format.h>
+
+#include <vector>
+
+namespace ibiswell::benchmarks {
+
+inline constexpr int targetsInService = 23; ///< 19,000 targets in 820 services.
+
+inline Member memberNumber(int number)
+{
+    Member member;
+    member.node = fmt::format("node-{:05}", number);
+    member.service = fmt::format("service-{:03}", number / targetsInService);
+    member.zone = fmt::format("zone-{:02}", number % 10);
+    member.endpoint = {fmt::format("10.{}.{}.{}", number >> 16, (number >> 8) & 255, number & 255),
+                       7000};
+    member.httpPort = 8000;
+    member.incarnation = 1'700'000'000'000;
+    return member;
+}
+
+inline std::vector<Member> membersUpTo(int count)
+{
+    std::vector<Member> members;
+    members.reserve(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i)
+        members.push_back(memberNumber(i));
+    return members;
+}
+
+/** A policy with three routes for each service and one team and key for each two services. */
+inline PolicyDocument policyFor(int services)
+{
+    PolicyDocument document;
+    document.version = 1;
+    for (int i = 0; i < services; ++i) {
+        for (const char *path : {"/items", "/orders", "/"})
+            document.entries[fmt::format("routes/route-{}{}", i, path)] = fmt::format(
+                R"({{"service":"service-{:03}","path":"{}","idempotent":true}})", i, path);
+        document.entries[fmt::format("teams/team-{}", i / 2)]
+            = R"({"rate_per_s":200,"burst":400})";
+        document.entries["keys/" + sha256Hex(fmt::format("key-{}", i / 2))]
+            = fmt::format(R"({{"team":"team-{}"}})", i / 2);
+    }
+    return document;
+}
+
+/** The decisions of one node on one call, from entry to answer. */
+struct CallDecisions
+{
+    Kernel kernel;
+    PolicyStore &policy = kernel.add<PolicyStore>("policy");
+    PathTable &paths = kernel.add<PathTable>("paths");
+    EntryAdmission entry {kernel};
+    Router router {"zone-01", std::chrono::microseconds(1500)};
+    TokenPurse purse;
+    TargetAdmission admission;
+    RetryPolicy retries;
+    Random random {1};
+    TimePoint now {std::chrono::seconds(1)};
+
+    CallDecisions(int members, int services)
+    {
+        policy.adopt(policyFor(services));
+        for (const Member &member : membersUpTo(members))
+            router.onMember(member);
+    }
+
+    /** Returns whether the call was answered. */
+    bool run()
+    {
+        now += std::chrono::milliseconds(1);
+        HttpRequest request {"GET", "/service-000/items/7", {{"x-ibiswell-key", "key-0"}}, ""};
+        EntryVerdict verdict = entry.admit(now, std::move(request), "request", random);
+        Entered *entered = std::get_if<Entered>(&verdict);
+        if (!entered)
+            return false;
+        purse.spend(now, entered->context.team);
+        retries.onFirstAttempt();
+        auto choice = router.choose(now, {entered->service, nullptr, nullptr}, random);
+        if (!choice)
+            return false;
+        router.onSend(choice->node);
+        Arrival arrival {entered->route.name, entered->context, 1, 1};
+        auto effects = admission.arrive(now, arrival);
+        Ticket ticket = std::visit([](const auto &effect) { return effect.ticket; }, effects[0]);
+        admission.finish(now + std::chrono::milliseconds(5), ticket,
+                         {WorkOutcome::Completed, std::chrono::milliseconds(5), {}, false});
+        LoadReport load = admission.report(entered->context.priority, entered->context.team);
+        router.onAnswer(now, choice->node, load, false);
+        paths.onAnswer(now, {entered->route.name, entered->context.team, entered->context.priority},
+                       load.pathFraction);
+        return true;
+    }
+};
+
+/** One node's membership with @p count known members. */
+inline Membership membershipOf(int count)
+{
+    Membership membership(memberNumber(0));
+    membership.onRoster(TimePoint {std::chrono::seconds(1)}, membersUpTo(count));
+    return membership;
+}
+
+/**
+ * What a node does for control in one second: two ticks, the probes and acks of its own and of
+ * others, one pass for leases and one for watchers.
+ */
+inline std::size_t controlSecond(Membership &membership, TimePoint &now, Random &random,
+                                 std::uint32_t leases)
+{
+    std::size_t effects = 0;
+    Datagram probe {memberNumber(1).node, memberNumber(1).endpoint, 1, {}, Probe {1}};
+    for (int half = 0; half < 2; ++half) {
+        now += Membership::probePeriod();
+        for (const MembershipEffect &effect : membership.tick(now, random)) {
+            const SendDatagram *sent = std::get_if<SendDatagram>(&effect);
+            const Probe *sentProbe = sent ? std::get_if<Probe>(&sent->datagram.body) : nullptr;
+            if (!sentProbe)
+                continue;
+            Datagram ack {"node-00002", {}, 1, {}, ProbeAck {sentProbe->sequence}};
+            effects += membership.onDatagram(now, ack).size() + 1;
+        }
+        effects += membership.onDatagram(now, probe).size();
+    }
+    std::vector<const Member *> present = membership.present();
+    effects += leasesToTake(membership.self(), present, leases).size();
+    effects += isPolicyWatcher(membership.self(), present) ? 1 : 0;
+    return effects;
+}
+
+} // namespace ibiswell::benchmarks
--- a/include/ibiswell/decisions/policy_store.h
+++ b/include/ibiswell/decisions/policy_store.h
@@ -50,8 +50,8 @@
 bool isPolicyWatcher(const Member &self, const std::vector<const Member *> &present);
 
 /**
- * Leases that @p self should take: each lease goes to the present member with the highest
- * rendezvous hash, so that few nodes ask the platform for the same one.
+ * Leases that @p self should take: each lease goes to one present member by its place on
+ * a hash ring, so that few nodes ask the platform for the same one.
  */
 std::vector<std::uint32_t> leasesToTake(const Member &self,
                                         const std::vector<const Member *> &present,
--- a/src/decisions/policy_store.cpp
+++ b/src/decisions/policy_store.cpp
@@ -1,9 +1,11 @@
 #include "ibiswell/decisions/policy_store.h"
 
 #include "ibiswell/core/hash.h"
+#include "ibiswell/decisions/lease_keeper.h"
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <limits>
 
 namespace ibiswell {
 
@@ -87,14 +89,18 @@
                                         const std::vector<const Member *> &present,
                                         std::uint32_t leaseCount)
 {
+    // A ring: a lease goes to the first member at or behind its place. One pass over the members
+    // finds the range of this one, so the cost is members plus leases, not their product.
+    std::uint64_t own = stableHash(self.node);
+    std::uint64_t widest = std::numeric_limits<std::uint64_t>::max();
+    for (const Member *member : present) {
+        if (member->node != self.node)
+            widest = std::min(widest, own - stableHash(member->node) - 1);
+    }
     std::vector<std::uint32_t> wanted;
     for (std::uint32_t lease = 0; lease < leaseCount; ++lease) {
-        std::uint64_t seed = 1 + lease;
-        std::uint64_t own = stableHash(self.node, seed);
-        bool isFirst = std::none_of(present.begin(), present.end(), [&](const Member *member) {
-            return member->node != self.node && stableHash(member->node, seed) > own;
-        });
-        if (isFirst)
+        std::uint64_t place = stableHash(leaseObjectName(lease));
+        if (own - place <= widest)
             wanted.push_back(lease);
     }
     return wanted;
--- a/src/transport/lease_service.cpp
+++ b/src/transport/lease_service.cpp
@@ -12,6 +12,7 @@
 using namespace std::chrono_literals;
 
 constexpr Duration keepInterval = 200ms;
+constexpr Duration wantedInterval = 1s; // a pass over all members
 
 std::string writeRecord(const LeaseRecord &record)
 {
@@ -58,6 +59,8 @@
 
 Task<void> LeaseService::keep()
 {
+    std::vector<std::uint32_t> wanted;
+    TimePoint wantedUntil;
     while (!m_node.stopping) {
         co_await sleepFor(keepInterval);
         if (!m_policy.isReady() || m_node.stopping)
@@ -65,7 +68,11 @@
         const FleetDefaults &defaults = m_policy.policy().defaults;
         auto count = static_cast<std::uint32_t>(defaults.rateShares + defaults.keyRanges);
         TimePoint now = steadyNow();
-        spawn(m_leases.tick(now, leasesToTake(m_membership.self(), m_membership.present(), count)));
+        if (now >= wantedUntil) {
+            wanted = leasesToTake(m_membership.self(), m_membership.present(), count);
+            wantedUntil = now + wantedInterval;
+        }
+        spawn(m_leases.tick(now, wanted));
         m_gossip.announceLeases(m_leases.held(now));
     }
 }
