--- a/src/transport/target_service.cpp
+++ b/src/transport/target_service.cpp
@@ -40,9 +40,11 @@
 class TargetService::SlotGuard
 {
 public:
-    SlotGuard(TargetService &service, Ticket ticket)
+    SlotGuard(TargetService &service, Ticket ticket, const CallMessage &call)
         : m_service(service)
         , m_ticket(ticket)
+        , m_requestId(call.context.requestId)
+        , m_route(call.route)
     {
     }
     SlotGuard(const SlotGuard &) = delete;
@@ -54,6 +56,12 @@
             m_service.m_calls.end(steadyNow(), m_token);
         if (m_settled)
             return;
+        m_service.m_decisions.note(m_requestId, "place",
+                                   {{"route", m_route},
+                                    {"outcome", std::string(answerFor(ErrorKind::Cancelled).name)},
+                                    {"reason",
+                                     m_started ? "the caller went away during the work"
+                                               : "the caller went away before a slot was free"}});
         m_service.m_admission.abandon(m_ticket);
         Duration held = m_started ? steadyNow() - m_startedAt : Duration {};
         finish({WorkOutcome::Failed, held, {}, true});
@@ -82,6 +90,8 @@
 private:
     TargetService &m_service;
     Ticket m_ticket;
+    std::string m_requestId;
+    std::string m_route;
     bool m_started = false;
     bool m_settled = false;
     TimePoint m_startedAt;
@@ -139,7 +149,7 @@
         co_return answer(call, refusal, ended);
     }
     Ticket ticket = std::visit([](const auto &effect) { return effect.ticket; }, own);
-    SlotGuard slot(*this, ticket);
+    SlotGuard slot(*this, ticket, call);
     if (std::holds_alternative<QueueCall>(own)) {
         std::optional<Refusal> refusal = co_await awaitSlot(ticket);
         if (refusal) {
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -180,4 +180,6 @@
     CHECK(eventually([&] {
         return request(deployment.httpPort(1), "GET", "/-/status").contains("\"in_flight\":0");
     }));
+    CHECK(eventually(
+        [&] { return deployment.log(1).find("outcome=cancelled") != std::string::npos; }));
 }
