--- a/src/transport/asio.h
+++ b/src/transport/asio.h
@@ -103,6 +103,25 @@
     return tcp::endpoint(address, endpoint.port);
 }
 
+/** Opens @p acceptor on @p endpoint; the error when the address cannot be had. */
+inline std::optional<Error> openAcceptor(tcp::acceptor &acceptor, const Endpoint &endpoint)
+{
+    std::optional<tcp::endpoint> local = toTcp(endpoint);
+    boost::system::error_code ec = asio::error::invalid_argument;
+    if (local)
+        acceptor.open(local->protocol(), ec);
+    if (!ec)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    if (!ec)
+        acceptor.bind(*local, ec);
+    if (!ec)
+        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    if (!ec)
+        return std::nullopt;
+    return Error {ErrorKind::InvalidSetting,
+                  "cannot listen on " + toString(endpoint) + ": " + ec.message()};
+}
+
 /** Connects within @p limit; nothing on failure. */
 inline Task<std::optional<tcp::socket>> connectTo(Endpoint endpoint, Duration limit)
 {
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -66,22 +66,9 @@
 
 bool HttpServer::listen(const Endpoint &endpoint)
 {
-    std::optional<tcp::endpoint> local = toTcp(endpoint);
-    boost::system::error_code ec = asio::error::invalid_argument;
-    if (local)
-        m_acceptor.open(local->protocol(), ec);
-    if (!ec)
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-    if (!ec)
-        m_acceptor.bind(*local, ec);
-    if (!ec)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    if (ec) {
-        m_lastError =
-            Error {ErrorKind::InvalidSetting,
-                   fmt::format("cannot listen on {}: {}", toString(endpoint), ec.message())};
+    m_lastError = openAcceptor(m_acceptor, endpoint);
+    if (m_lastError)
         return false;
-    }
     asio::co_spawn(m_context, acceptLoop(), asio::detached);
     return true;
 }
--- a/tests/process/promise_test.cpp
+++ b/tests/process/promise_test.cpp
@@ -86,6 +86,7 @@
     std::vector<Reply> orders(12);
     std::vector<Reply> lookups(12);
     std::vector<std::thread> callers;
+    callers.reserve(orders.size());
     for (int i = 0; i < 12; ++i) {
         callers.emplace_back([&, i] {
             std::this_thread::sleep_for(std::chrono::milliseconds(20 * i));
@@ -145,6 +146,7 @@
     CHECK(lost.output.find("version 3 in force") != std::string::npos);
     std::vector<CommandResult> results(4);
     std::vector<std::thread> operators;
+    operators.reserve(results.size());
     for (int i = 0; i < 4; ++i)
         operators.emplace_back([&, i] {
             results[static_cast<std::size_t>(i)] =
@@ -194,6 +196,7 @@
                           "--cold-slots", "4", "--connections", "200"});
     deployment.applyPolicy();
     std::vector<std::thread> callers;
+    callers.reserve(24);
     std::atomic<int> whole = 0;
     for (int i = 0; i < 24; ++i)
         callers.emplace_back([&] {
@@ -215,6 +218,7 @@
     deployment.applyPolicy();
     std::vector<std::thread> callers;
     std::vector<Reply> replies(16);
+    callers.reserve(replies.size());
     for (std::size_t i = 0; i < replies.size(); ++i)
         callers.emplace_back([&, i] {
             std::string id = fmt::format("large-{}", i);
--- a/tools/ibiswell.cpp
+++ b/tools/ibiswell.cpp
@@ -1,37 +1,19 @@
 /** The operator's command. */
 
-#include "ibiswell/core/hash.h"
-#include "ibiswell/transport/operator_session.h"
-#include "ibiswell/transport/settings.h"
+#include "operator_commands.h"
 
-#include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
-#include <boost/json/value.hpp>
 #include <boost/program_options.hpp>
 #include <fmt/format.h>
 
 #include <csignal>
 #include <cstdlib>
-#include <functional>
 #include <iostream>
-#include <map>
 
 namespace po = boost::program_options;
-namespace json = boost::json;
 using namespace ibiswell;
 
 namespace {
 
-enum ExitCode {
-    Ok = 0,
-    Failed = 1,
-    UsageError = 2,
-    InvalidInput = 3,
-    Unreachable = 4,
-    Conflict = 5,
-    NotInForce = 6
-};
-
 constexpr std::string_view usage = R"(Usage: ibiswell COMMAND [ARGUMENTS] [OPTIONS]
 
 Commands:
@@ -54,20 +36,6 @@
 5 conflict with another operator, 6 stored, but not yet in force everywhere
 )";
 
-struct Arguments
-{
-    std::vector<std::string> words;
-    std::string platform = "127.0.0.1:7000";
-    std::string node = "127.0.0.1:8101";
-    std::string token;
-    std::string reason;
-    std::string appliesTo;
-    std::string set;
-    std::string team;
-    double waitSeconds = 14;
-    bool asJson = false;
-};
-
 std::optional<Endpoint> parseEndpoint(const std::string &text)
 {
     std::size_t colon = text.rfind(':');
@@ -79,274 +47,6 @@
     return Endpoint {text.substr(0, colon), static_cast<std::uint16_t>(port)};
 }
 
-int fail(const Error &error)
-{
-    fmt::print(stderr, "ibiswell: {}: {}\n", answerFor(error.kind).name, error.detail);
-    switch (error.kind) {
-    case ErrorKind::InvalidPolicy:
-    case ErrorKind::InvalidSetting:
-        return InvalidInput;
-    case ErrorKind::PlatformUnavailable:
-    case ErrorKind::ConnectFailed:
-    case ErrorKind::ConnectionLost:
-    case ErrorKind::DeadlineExceeded:
-        return Unreachable;
-    case ErrorKind::VersionConflict:
-        return Conflict;
-    default:
-        return Failed;
-    }
-}
-
-int failUsage(std::string_view text)
-{
-    fmt::print(stderr, "ibiswell: {}\nTry \"ibiswell help\".\n", text);
-    return UsageError;
-}
-
-std::optional<PolicyDocument> readDocument(const std::string &path, Error &error)
-{
-    std::optional<std::string> text = readFile(path, error);
-    if (!text)
-        return std::nullopt;
-    std::optional<PolicyDocument> document = parsePolicyDocument(*text, error);
-    if (!document)
-        error.detail = fmt::format("{}: {}", path, error.detail);
-    return document;
-}
-
-/** Makes a change, waits until it is in force everywhere, and prints how long that took. */
-int makeAndReport(OperatorSession &session, const Arguments &arguments, const PolicyChange &change)
-{
-    std::optional<std::uint64_t> version = session.change(change);
-    if (!version)
-        return fail(*session.lastError());
-    if (arguments.waitSeconds <= 0) {
-        fmt::print("version {} stored\n", *version);
-        return Ok;
-    }
-    auto inForce = session.waitInForce(*version, fromSeconds(arguments.waitSeconds));
-    if (!inForce) {
-        fmt::print("version {} stored; no node answered to tell where it is in force\n", *version);
-        fail(*session.lastError());
-        return NotInForce;
-    }
-    if (arguments.asJson)
-        fmt::print("{{\"version\":{},\"nodes\":{},\"behind\":{},\"seconds\":{:.3f}}}\n", *version,
-                   inForce->nodes, inForce->behind, inSeconds(inForce->took));
-    else
-        fmt::print("version {} in force on {} of {} nodes after {:.3f} s\n", *version,
-                   inForce->nodes - inForce->behind, inForce->nodes, inSeconds(inForce->took));
-    return inForce->behind == 0 ? Ok : NotInForce;
-}
-
-int configCheck(const Arguments &arguments)
-{
-    Error error;
-    std::optional<PolicyDocument> document = readDocument(arguments.words[2], error);
-    if (!document || !compilePolicy(*document, error))
-        return fail(error);
-    fmt::print("{}: valid, {} entries\n", arguments.words[2], document->entries.size());
-    return Ok;
-}
-
-int configShow(OperatorSession &session)
-{
-    std::optional<StoredPolicy> stored = session.readPolicy();
-    if (!stored)
-        return fail(*session.lastError());
-    fmt::print("// version {}\n{}\n", stored->document.version,
-               writePolicyDocument(stored->document));
-    return Ok;
-}
-
-int configDiff(OperatorSession &session, const Arguments &arguments)
-{
-    Error error;
-    std::optional<PolicyDocument> document = readDocument(arguments.words[2], error);
-    std::optional<StoredPolicy> stored;
-    if (!document)
-        return fail(error);
-    if (!(stored = session.readPolicy()))
-        return fail(*session.lastError());
-    PolicyDocument next = stored->document;
-    if (!makeChange(next, ReplaceSections {*document}, error))
-        return fail(error);
-    for (const PolicyEdit &edit : difference(stored->document, next).edits) {
-        auto old = stored->document.entries.find(edit.entry);
-        if (old != stored->document.entries.end())
-            fmt::print("- {} {}\n", edit.entry, old->second);
-        if (edit.json)
-            fmt::print("+ {} {}\n", edit.entry, *edit.json);
-    }
-    return Ok;
-}
-
-int configApply(OperatorSession &session, const Arguments &arguments)
-{
-    Error error;
-    std::optional<PolicyDocument> document = readDocument(arguments.words[2], error);
-    if (!document)
-        return fail(error);
-    return makeAndReport(session, arguments, ReplaceSections {std::move(*document)});
-}
-
-int exceptionList(OperatorSession &session, const Arguments &arguments)
-{
-    std::optional<StoredPolicy> stored = session.readPolicy();
-    if (!stored)
-        return fail(*session.lastError());
-    constexpr std::string_view section = "exceptions/";
-    for (const auto &[entry, text] : stored->document.entries) {
-        if (!entry.starts_with(section))
-            continue;
-        json::value value = json::parse(text);
-        if (arguments.asJson)
-            fmt::print("{}\n", text);
-        else
-            fmt::print("{:<24} {:<28} {}\n", entry.substr(section.size()),
-                       std::string(value.at("applies_to").as_string()),
-                       std::string(value.at("reason").as_string()));
-    }
-    return Ok;
-}
-
-int exceptionAdd(OperatorSession &session, const Arguments &arguments)
-{
-    if (arguments.reason.empty())
-        return failUsage("an exception needs --reason");
-    Error error;
-    boost::system::error_code ec;
-    json::value set = json::parse(arguments.set.empty() ? "{}" : arguments.set, ec);
-    if (ec)
-        return failUsage(fmt::format("--set is not JSON: {}", ec.message()));
-    json::object object {
-        {"reason", arguments.reason}, {"applies_to", arguments.appliesTo}, {"set", set}};
-    return makeAndReport(session, arguments,
-                         SetEntry {"exceptions/" + arguments.words[2], json::serialize(object)});
-}
-
-int keyGrant(OperatorSession &session, const Arguments &arguments)
-{
-    if (arguments.team.empty())
-        return failUsage("a key needs --team");
-    json::object object {{"team", arguments.team}};
-    return makeAndReport(
-        session, arguments,
-        SetEntry {"keys/" + sha256Hex(arguments.words[2]), json::serialize(object)});
-}
-
-int zoneOut(OperatorSession &session, const Arguments &arguments)
-{
-    if (arguments.reason.empty())
-        return failUsage("taking a zone out needs --reason");
-    json::object object {{"reason", arguments.reason}};
-    return makeAndReport(session, arguments,
-                         SetEntry {"zones_out/" + arguments.words[2], json::serialize(object)});
-}
-
-int status(OperatorSession &session, const Arguments &arguments)
-{
-    std::optional<std::string> page = session.page(session.node(), "/-/status");
-    if (!page)
-        return fail(*session.lastError());
-    if (arguments.asJson) {
-        fmt::print("{}", *page);
-        return Ok;
-    }
-    json::value root = json::parse(*page);
-    fmt::print("node {}  policy version {}  limit {}  in flight {}  queued {}  worst-served "
-               "fraction {}\n",
-               json::serialize(root.at("node")), json::serialize(root.at("policy_version")),
-               json::serialize(root.at("limit")), json::serialize(root.at("in_flight")),
-               json::serialize(root.at("queued")), json::serialize(root.at("worst_fraction")));
-    fmt::print("{:<20} {:<14} {:<14} {:<22} {:<8} {}\n", "NODE", "SERVICE", "ZONE", "HTTP", "STATE",
-               "LEASES");
-    for (const json::value &member : root.at("members").as_array()) {
-        auto text = [&](std::string_view field) {
-            return std::string(
-                member.at(json::string_view(field.data(), field.size())).as_string());
-        };
-        fmt::print("{:<20} {:<14} {:<14} {:<22} {:<8} {}\n", text("node"), text("service"),
-                   text("zone"),
-                   fmt::format("{}:{}", text("address"), json::serialize(member.at("http_port"))),
-                   text("state"), json::serialize(member.at("leases")));
-    }
-    for (const auto &zone : root.at("zones_out").as_object())
-        fmt::print("zone out: {}  {}\n", std::string(zone.key()), json::serialize(zone.value()));
-    return Ok;
-}
-
-int explain(OperatorSession &session, const Arguments &arguments)
-{
-    std::optional<std::vector<Endpoint>> nodes = session.members();
-    if (!nodes)
-        return fail(*session.lastError());
-    bool found = false;
-    for (const Endpoint &node : *nodes) {
-        auto page = session.page(node, "/-/explain?request=" + arguments.words[1]);
-        if (!page)
-            continue;
-        json::value root = json::parse(*page);
-        for (const json::value &line : root.at("lines").as_array()) {
-            found = true;
-            fmt::print("{}: {}\n", std::string(root.at("node").as_string()),
-                       std::string(line.as_string()));
-        }
-    }
-    if (!found)
-        fmt::print(stderr, "ibiswell: no node keeps a decision on request \"{}\"\n",
-                   arguments.words[1]);
-    return found ? Ok : Failed;
-}
-
-using Command = std::function<int(OperatorSession &, const Arguments &)>;
-
-struct CommandRow
-{
-    std::size_t words; ///< Of the command with its arguments.
-    Command run;
-};
-
-const std::map<std::string, CommandRow> &commands()
-{
-    auto removal = [](const std::string &section) {
-        return [section](OperatorSession &session, const Arguments &arguments) {
-            return makeAndReport(session, arguments, RemoveEntry {section + arguments.words[2]});
-        };
-    };
-    static const std::map<std::string, CommandRow> rows {
-        {"config check", {3, [](OperatorSession &, const Arguments &a) { return configCheck(a); }}},
-        {"config show", {2, [](OperatorSession &s, const Arguments &) { return configShow(s); }}},
-        {"config diff", {3, configDiff}},
-        {"config apply", {3, configApply}},
-        {"exception list", {2, exceptionList}},
-        {"exception add", {3, exceptionAdd}},
-        {"exception remove", {3, removal("exceptions/")}},
-        {"key grant", {3, keyGrant}},
-        {"key withdraw",
-         {3,
-          [](OperatorSession &session, const Arguments &arguments) {
-              return makeAndReport(session, arguments,
-                                   RemoveEntry {"keys/" + sha256Hex(arguments.words[2])});
-          }}},
-        {"zone out", {3, zoneOut}},
-        {"zone in", {3, removal("zones_out/")}},
-        {"status", {1, status}},
-        {"explain", {2, explain}},
-    };
-    return rows;
-}
-
-const CommandRow *findCommand(const std::vector<std::string> &words)
-{
-    const auto &rows = commands();
-    auto found = words.empty() ? rows.end() : rows.find(words[0]);
-    if (found == rows.end() && words.size() > 1)
-        found = rows.find(words[0] + " " + words[1]);
-    return found == rows.end() ? nullptr : &found->second;
-}
-
 po::options_description describe(Arguments &arguments)
 {
     po::options_description options("Options");
