--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Breaks one mechanism after the other in a scratch copy and shows that its check then fails.
-# Usage: tests/mutations.sh [PART OF A NAME]      (takes some minutes; not part of CI)
+# Usage: tests/mutations.sh [PATTERN OF NAMES]      (takes some minutes; not part of CI)
 set -uo pipefail
 pattern=${1:-}
 root=$(cd "$(dirname "$0")/.." && pwd)
@@ -15,7 +15,7 @@
 
 # name, file, text to find, text in its place, test program, test cases
 break_one() {
-    [[ "$1" == *"$pattern"* ]] || return 0
+    [[ "$1" == *$pattern* ]] || return 0
     cp "$2" "$2.kept"
     python3 - "$2" "$3" "$4" <<'PYTHON'
 import sys
