--- a/tools/operator_commands.cpp
+++ b/tools/operator_commands.cpp
@@ -196,7 +196,7 @@
                "fraction {}\n",
                json::serialize(root.at("node")), json::serialize(root.at("policy_version")),
                json::serialize(root.at("limit")), json::serialize(root.at("in_flight")),
-               json::serialize(root.at("queued")), json::serialize(root.at("worst_fraction")));
+               json::serialize(root.at("queued")), root.at("worst_fraction").to_number<double>());
     fmt::print("{:<20} {:<14} {:<14} {:<22} {:<8} {}\n", "NODE", "SERVICE", "ZONE", "HTTP", "STATE",
                "LEASES");
     for (const json::value &member : root.at("members").as_array()) {
