Hold the rate with real processes while a node is frozen and a holder killed

Cause: the bound over all VMs was shown in virtual time only. Change: a process test with three nodes, six callers without pause, a node frozen for a second and one killed.

--- a/tests/process/promise_test.cpp
+++ b/tests/process/promise_test.cpp
@@ -163,6 +163,49 @@
             == 200);
 }
 
+TEST_CASE("no team gets more than its rate and burst over all nodes, also while a holder is killed")
+{
+    Deployment deployment(18500);
+    for (const char *zone : {"a", "b", "c"})
+        deployment.addTarget("catalogue", zone, {"--service-ms", "1", "--slots", "32"});
+    deployment.applyPolicy();
+    constexpr double rate = 20;
+    constexpr double burst = 20;
+    REQUIRE(deployment
+                .operate({"exception", "add", "small", "--applies-to", "team:school", "--set",
+                          R"({"rate_per_s": 20, "burst": 20})", "--reason", "test"})
+                .exitCode
+            == 0);
+    // What was granted under the former rate has lapsed before the count begins.
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    auto start = std::chrono::steady_clock::now();
+    std::atomic<int> admitted = 0;
+    std::atomic<bool> ended = false;
+    std::vector<std::thread> callers;
+    callers.reserve(6);
+    for (int i = 0; i < 6; ++i)
+        callers.emplace_back([&, i] {
+            while (!ended)
+                admitted += request(deployment.httpPort(i % 3), "GET", "/catalogue/sheets/1",
+                                    {{"x-ibiswell-key", "the-key"}})
+                                .status
+                    == 200;
+        });
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    deployment.node(1).signal(SIGSTOP);
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    deployment.node(1).signal(SIGCONT);
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    deployment.node(2).signal(SIGKILL);
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    ended = true;
+    for (std::thread &caller : callers)
+        caller.join();
+    std::chrono::duration<double> length = std::chrono::steady_clock::now() - start;
+    CHECK(admitted.load() > 0);
+    CHECK(admitted.load() <= rate * length.count() + burst);
+}
+
 TEST_CASE("malformed, oversized and slow input is refused at every port, and the node goes on")
 {
     Deployment deployment(18100);
