Tell each probed node of the prober itself

Cause: the flaky start: the trace of a hanging run shows a node that two others know and probe, and that never learns of one of them. Its news of itself had been told often enough before the islands joined, and a probe names its sender without its record. Ruled out: the leases (all held), the contacts (the other two had joined). Change: a probe carries the prober's own record. About 100 B more a probe.

--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -245,7 +245,12 @@
     if (member->state != MemberState::Alive)
         enqueueNews(*member); // so that the probed node learns of it and refutes
     m_pending = PendingProbe {member->node, m_nextSequence++, false};
-    effects.push_back(SendDatagram {member->endpoint, frame(Probe {m_pending->sequence})});
+    SendDatagram probe {member->endpoint, frame(Probe {m_pending->sequence})};
+    // A node that does not know this one yet, after islands joined, learns of it by the probe.
+    std::erase_if(probe.datagram.updates,
+                  [&](const Member &news) { return news.node == m_self.node; });
+    probe.datagram.updates.push_back(m_self);
+    effects.push_back(std::move(probe));
 }
 
 const Member *Membership::nextToProbe(Random &random)
