--- a/benchmark/capacity.cpp
+++ b/benchmark/capacity.cpp
@@ -103,7 +103,8 @@
         encode(PeerMessage(PolicyAnswer {std::vector<PolicyDelta> {delta}})).size()
         + encode(PeerMessage(PolicyPull {1})).size() + 8);
     double repeats = 3 * std::ceil(std::log2(plannedMembers + 1));
-    double probes = 4 * frame; // one probe and ack of its own, one of another node
+    // One probe and ack of its own, one of another node; each probe carries the prober's record.
+    double probes = 4 * frame + 2 * news;
     double memberNews = 2 * restartsEachSecond * newsForRestart * repeats * news;
     double policyNews = changesEachSecond * (8 * frame + 2 * pull);
 
