--- a/include/ibiswell/core/error.h
+++ b/include/ibiswell/core/error.h
@@ -21,6 +21,8 @@
     DeadlineTooShort,
     DepthExceeded,
     TargetLeaving,
+    TargetCold,
+    TargetReplaced,
     ZoneOut,
     NoTarget,
     NodeNotReady,
--- a/include/ibiswell/core/messages.h
+++ b/include/ibiswell/core/messages.h
@@ -45,6 +45,10 @@
     std::vector<HeaderField> headers;
     std::string body;
 
+    /** Value of the first field of that name (case is ignored), or an empty text. */
+    std::string_view header(std::string_view name) const;
+    bool hasHeader(std::string_view name) const;
+
     bool operator==(const HttpAnswer &) const = default;
 };
 
@@ -58,6 +62,7 @@
      * run" for the caller above.
      */
     Execution execution = Execution::NotRun;
+    Duration retryAfter {}; ///< When the caller may come back; zero: not stated.
 };
 
 /** How a call ended. */
@@ -93,6 +98,7 @@
 /** Asks for the members known to a node, when a new node joins. */
 struct RosterRequest
 {
+    Member asking; ///< The new node itself.
 };
 
 struct RosterAnswer
@@ -104,12 +110,23 @@
 struct PolicyPull
 {
     std::uint64_t haveVersion = 0;
+    std::uint64_t haveZonesRevision = 0;
+};
+
+/** Availability zones out of service by order of the platform's store. */
+struct ZonesOut
+{
+    std::uint64_t revision = 0; ///< Of the store, when the list was read; 0: never read.
+    std::vector<std::string> zones;
+
+    bool operator==(const ZonesOut &) const = default;
 };
 
 /** The whole policy, or the deltas that lead to it; empty when there is nothing newer. */
 struct PolicyAnswer
 {
     std::variant<std::monostate, std::vector<PolicyDelta>, PolicyDocument> news;
+    ZonesOut zones;
 };
 
 /** Asks the owner of an idempotency key for the right to run its request. */
@@ -216,8 +233,34 @@
     Duration validFor {}; ///< From when the ask was sent, by the asker's clock.
 };
 
-using GossipBody =
-    std::variant<Probe, ProbeAck, ProbeRequest, PolicyNews, MemberNews, TokenAsk, TokenGrant>;
+/** How many requests of a team enter at a node. */
+struct TeamDemand
+{
+    std::string team;
+    double ratePerSecond = 0;
+};
+
+/** Tells the node that accounts for these teams what enters at the sender. */
+struct DemandReport
+{
+    std::vector<TeamDemand> demands;
+};
+
+/** The part of a team's rate that a node may admit. */
+struct TeamShare
+{
+    std::string team;
+    double share = 0; ///< From 0 to 1.
+};
+
+/** Answer to a DemandReport. */
+struct ShareGrant
+{
+    std::vector<TeamShare> shares;
+};
+
+using GossipBody = std::variant<Probe, ProbeAck, ProbeRequest, PolicyNews, MemberNews, TokenAsk,
+                                TokenGrant, DemandReport, ShareGrant>;
 
 /** One datagram between nodes. */
 struct Datagram
@@ -225,6 +268,7 @@
     std::string sender; ///< Node name.
     Endpoint senderEndpoint;
     std::uint64_t policyVersion = 0;
+    std::uint64_t zonesRevision = 0;
     std::vector<Member> updates; ///< News of members, a few with each datagram.
     GossipBody body;
 };
--- /dev/null
+++ b/include/ibiswell/decisions/cold_pace.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "ibiswell/core/time.h"
+
+#include <deque>
+
+namespace ibiswell {
+
+/**
+ * Holds the starts at a cold backend server to what it bears: in each sliding second at most so
+ * many. Starts are counted at all times, so that a server that turns cold is not given a second's
+ * worth on top of what it just got.
+ */
+class ColdPace
+{
+public:
+    /** @param startsPerSecond zero: not bounded. */
+    void setRate(double startsPerSecond) { m_startsPerSecond = startsPerSecond; }
+    bool isBounded() const { return m_startsPerSecond > 0; }
+    double rate() const { return m_startsPerSecond; }
+
+    bool mayStart(TimePoint now);
+    void onStart(TimePoint now);
+
+private:
+    void forget(TimePoint now);
+
+    double m_startsPerSecond = 0;
+    std::deque<TimePoint> m_starts; ///< Of the last second.
+};
+
+} // namespace ibiswell
--- a/include/ibiswell/decisions/entry_admission.h
+++ b/include/ibiswell/decisions/entry_admission.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "ibiswell/core/dialect.h"
 #include "ibiswell/core/messages.h"
 #include "ibiswell/core/random.h"
 #include "ibiswell/core/time.h"
+#include "ibiswell/decisions/split_chooser.h"
 #include "ibiswell/kernel/kernel.h"
 #include "ibiswell/policy/policy.h"
 
@@ -17,18 +19,11 @@
 class PathTable;
 class PolicyStore;
 
-/** Header fields that callers and backend servers use. */
+/** Header fields of the product's own front that callers use beside those of its dialect. */
 namespace headers {
-inline constexpr std::string_view prefix = "x-ibiswell-"; ///< None of these reach a back end.
-inline constexpr std::string_view key = "x-ibiswell-key";
 inline constexpr std::string_view authorization = "authorization";
-inline constexpr std::string_view team = "x-ibiswell-team";
-inline constexpr std::string_view call = "x-ibiswell-call";
-inline constexpr std::string_view deadline = "x-ibiswell-deadline-ms";
 inline constexpr std::string_view attempt = "x-ibiswell-attempt";
-inline constexpr std::string_view execution = "x-ibiswell-execution";
 inline constexpr std::string_view idempotencyKey = "idempotency-key";
-inline constexpr std::string_view requestId = "x-request-id";
 } // namespace headers
 
 /** A request that may go on, with what it carries along its call tree. */
@@ -52,31 +47,41 @@
 class EntryAdmission
 {
 public:
-    /** Looks up "policy", "paths", "contact" and "membership". */
+    /** Looks up "dialect", "policy", "paths", "contact" and "membership". */
     explicit EntryAdmission(Kernel &kernel);
 
     /** @param requestId for a request that brings none. */
     EntryVerdict admit(TimePoint now, HttpRequest request, const std::string &requestId,
-                       Random &random) const;
+                       Random &random);
 
     /**
      * The same for a call from the local backend server, whose context is inherited. Nothing is
      * shed here by the path: the work above is already done, and the target decides.
      */
-    EntryVerdict admitBelow(HttpRequest request, CallContext inherited) const;
+    EntryVerdict admitBelow(HttpRequest request, CallContext inherited);
 
 private:
-    std::variant<Refusal, Entered> findRoute(HttpRequest request) const;
+    EntryVerdict findRoute(HttpRequest request);
+    EntryVerdict findRoute(HttpRequest request, const ServiceInPath &naming);
+    EntryVerdict findRoute(HttpRequest request, const HostAndPrefix &naming);
     std::optional<Refusal> authenticate(TimePoint now, Entered &entered) const;
+    std::string_view presentedKey(const HttpRequest &request) const;
+    void removeKey(HttpRequest &request, const std::string &key) const;
+    void prioritise(Entered &entered) const;
 
+    const Dialect &m_dialect;
     const PolicyStore &m_policy;
     const PathTable &m_paths;
     const Contact &m_contact;
     const Membership &m_membership;
+    SplitChooser m_splits;
 };
 
-/** Takes the deadline that a caller states, bounded by the policy; nothing when malformed. */
-std::optional<Duration> statedDeadline(const HttpRequest &request, const RoutePolicy &route,
-                                       const FleetDefaults &defaults);
+/**
+ * Takes the deadline that a caller states in the field @p name, bounded by the policy; nothing when
+ * malformed.
+ */
+std::optional<Duration> statedDeadline(const HttpRequest &request, std::string_view name,
+                                       const RoutePolicy &route, const FleetDefaults &defaults);
 
 } // namespace ibiswell
--- a/include/ibiswell/decisions/membership.h
+++ b/include/ibiswell/decisions/membership.h
@@ -63,6 +63,7 @@
     std::size_t size() const { return m_members.size() + 1; }
 
     void setPolicyVersion(std::uint64_t version) { m_policyVersion = version; }
+    void setZonesRevision(std::uint64_t revision) { m_zonesRevision = revision; }
 
     static Duration probePeriod();
 
@@ -117,6 +118,7 @@
     std::map<std::string, int> m_news; ///< Node to how often its news may still be sent.
     std::uint64_t m_nextSequence = 1;
     std::uint64_t m_policyVersion = 0;
+    std::uint64_t m_zonesRevision = 0;
     std::uint64_t m_ticks = 0;
 };
 
--- a/include/ibiswell/decisions/policy_store.h
+++ b/include/ibiswell/decisions/policy_store.h
@@ -25,12 +25,17 @@
     /** Takes the news of another node in. */
     bool adopt(const PolicyAnswer &answer);
 
-    /** What a node at @p haveVersion lacks: deltas when they are known, else the whole. */
-    PolicyAnswer answerPull(std::uint64_t haveVersion) const;
+    /** What the asking node lacks: deltas when they are known, else the whole. */
+    PolicyAnswer answerPull(const PolicyPull &pull) const;
+    /** Takes in zones that are out; false when they are not newer or the same. */
+    bool adoptZones(const ZonesOut &zones);
 
     bool isReady() const { return m_policy.version > 0; }
     std::uint64_t version() const { return m_policy.version; }
     const Policy &policy() const { return m_policy; }
+    const ZonesOut &zonesOut() const { return m_zones; }
+    /** Whether the policy or an order in the platform's store takes a zone out of service. */
+    bool isZoneOut(std::string_view zone) const;
     const PolicyDocument &document() const { return m_document; }
     const std::optional<Error> &lastError() const { return m_lastError; }
 
@@ -39,6 +44,7 @@
 
     PolicyDocument m_document;
     Policy m_policy;
+    ZonesOut m_zones;
     std::deque<PolicyDelta> m_deltas; ///< Without a gap, the newest last.
     std::optional<Error> m_lastError;
 };
--- a/include/ibiswell/decisions/retry_policy.h
+++ b/include/ibiswell/decisions/retry_policy.h
@@ -5,11 +5,20 @@
 #include "ibiswell/core/time.h"
 
 #include <cstdint>
+#include <map>
+#include <string>
 #include <string_view>
 #include <variant>
 
 namespace ibiswell {
 
+/** What all nodes together may send to a service beyond the first attempts. */
+struct FleetRetryBudget
+{
+    double ratio = 0.2; ///< Retries for each first attempt.
+    double slack = 0; ///< Retries in each window besides.
+};
+
 /** The call ends with its refusal. */
 struct GiveUp
 {
@@ -37,8 +46,22 @@
     int sends = 1; ///< Attempts made so far, free choices included.
     int retriesLeft = 0; ///< Of the call tree, for this call.
     Duration timeLeft {};
+    std::string service;
+    int targetsReached = 0; ///< Backend servers that got the request, or may have got it.
+    int maximumTargets = 0; ///< Of the route; 0: not bounded.
 };
 
+/** A node's own allowance of retries for each service. */
+struct RetryAllowance
+{
+    double earnedByFirstAttempt = 0.1; ///< Retries.
+    double largest = 100; ///< Retries that may be saved up.
+    double atStart = 25; ///< Retries.
+};
+
+/** A node's part of the fleet's budget, safe without any message between nodes. */
+RetryAllowance retryAllowance(const FleetRetryBudget &budget);
+
 /**
  * Decides whether a node sends a call again.
  *
@@ -51,12 +74,17 @@
 class RetryPolicy
 {
 public:
-    /** Notes a first attempt, which earns a part of a retry. */
-    void onFirstAttempt();
+    explicit RetryPolicy(RetryAllowance allowance = {});
+
+    /** Notes a first attempt at @p service, which earns a part of a retry there. */
+    void onFirstAttempt(const std::string &service = {});
     RetryDecision decide(const FailedAttempt &attempt);
 
 private:
-    double m_allowance = 25; ///< Retries that the node may still send.
+    double &allowanceOf(const std::string &service);
+
+    RetryAllowance m_terms;
+    std::map<std::string, double, std::less<>> m_allowances; ///< Retries left, by service.
 };
 
 /** Divides a call's remaining retries between the call below and those that may follow. */
--- /dev/null
+++ b/include/ibiswell/decisions/split_chooser.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "ibiswell/policy/policy.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace ibiswell {
+
+/**
+ * Divides the requests of a route among the services of its split by smooth weighted round robin:
+ * after any number of requests each part is within one request of its share, so that even a node
+ * that sees few requests keeps the proportions.
+ */
+class SplitChooser
+{
+public:
+    /** The service for the next request of @p route, which must have a split. */
+    const std::string &choose(const RoutePolicy &route);
+
+private:
+    struct Part
+    {
+        std::string service;
+        double weight = 0;
+        double credit = 0; ///< Requests that the part is owed.
+    };
+
+    static bool isFor(const std::vector<Part> &parts, const RoutePolicy &route);
+
+    std::map<std::string, std::vector<Part>, std::less<>> m_routes;
+};
+
+} // namespace ibiswell
--- a/include/ibiswell/decisions/target_admission.h
+++ b/include/ibiswell/decisions/target_admission.h
@@ -2,6 +2,7 @@
 
 #include "ibiswell/core/error.h"
 #include "ibiswell/core/request.h"
+#include "ibiswell/decisions/cold_pace.h"
 #include "ibiswell/decisions/concurrency_limit.h"
 #include "ibiswell/decisions/demand_shares.h"
 #include "ibiswell/decisions/fair_queue.h"
@@ -63,6 +64,13 @@
 class TargetAdmission
 {
 public:
+    /** States how many calls the backend server runs at once, in place of a learned limit. */
+    void setSlots(int slots) { m_slots = slots; }
+    /** Bounds the starts a second while the backend server is cold; 0: not bounded. */
+    void setColdPace(double startsPerSecond) { m_pace.setRate(startsPerSecond); }
+    /** Refuses all calls that wait, for example since the backend server leaves. */
+    std::vector<AdmissionEffect> refuseWaiting(ErrorKind kind);
+
     /** The first effect is the arriving call's own; others concern calls that it displaced. */
     std::vector<AdmissionEffect> arrive(TimePoint now, const Arrival &arrival);
 
@@ -80,7 +88,7 @@
     /** The fraction that an admitted call hands on to its calls below. */
     double fractionHandedOn(const Arrival &arrival) const;
 
-    int limit() const { return m_limit.limit(); }
+    int limit() const { return m_slots > 0 ? m_slots : m_limit.limit(); }
     int inFlight() const { return static_cast<int>(m_running.size()); }
     std::size_t queued() const { return m_queue.size(); }
     double worstFraction() const { return m_shares.worstFraction(); }
@@ -104,7 +112,10 @@
 
     std::vector<AdmissionEffect> refuse(Ticket ticket, ErrorKind kind) const;
     std::vector<AdmissionEffect> enqueue(const Arrival &arrival, WaitingCall call);
-    void start(const std::string &route, const WaitingCall &call);
+    void start(TimePoint now, const std::string &route, const WaitingCall &call);
+    bool maySlotStart(TimePoint now) { return inFlight() < limit() && m_pace.mayStart(now); }
+    /** Calls that may run at once: the limit, or what the pace of a cold server comes to. */
+    double bearableCalls() const;
     void startWaiting(TimePoint now, std::vector<AdmissionEffect> &effects);
     Duration expectedSlotTime(const std::string &route) const;
     Duration queueDelay(PriorityClass priority) const;
@@ -112,6 +123,8 @@
     void noteSlotTime(const std::string &route, Duration slotTime);
 
     ConcurrencyLimit m_limit;
+    ColdPace m_pace;
+    int m_slots = 0; ///< 0: not stated.
     DemandShares m_shares;
     FairQueue m_queue;
     std::unordered_map<Ticket, Running> m_running;
--- a/include/ibiswell/transport/node.h
+++ b/include/ibiswell/transport/node.h
@@ -1,18 +1,43 @@
 #pragma once
 
+#include "ibiswell/core/dialect.h"
 #include "ibiswell/core/error.h"
+#include "ibiswell/decisions/retry_policy.h"
+#include "ibiswell/kernel/kernel.h"
 #include "ibiswell/transport/settings.h"
+#include "ibiswell/transport/store_format.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
+#include <variant>
 
 namespace ibiswell {
 
+/** The product's own front: its headers, its operators' pages, its platform client. */
+struct OwnFront
+{
+};
+
+/** A front that speaks a platform's words. It drives the same decisions and call path. */
+struct ExternalFront
+{
+    Dialect dialect;
+    StoreFormat store;
+    RetryAllowance retries;
+    /** Registers the front's services; called when all others stand. */
+    std::function<void(Kernel &kernel)> addServices;
+    /** Opens the front's addresses; an error when one cannot be had. */
+    std::function<std::optional<Error>(Kernel &kernel)> listen;
+};
+
+using FrontChoice = std::variant<OwnFront, ExternalFront>;
+
 /** One node process: puts the services together in a kernel and runs them. */
 class Node
 {
 public:
-    explicit Node(NodeSettings settings);
+    explicit Node(NodeSettings settings, FrontChoice front = OwnFront {});
     ~Node();
 
     /** Listens on all ports; false, with lastError(), when one cannot be had. */
--- a/include/ibiswell/transport/settings.h
+++ b/include/ibiswell/transport/settings.h
@@ -34,8 +34,12 @@
     int connections = 4096; ///< Callers' connections at once.
     std::string operatorTokenHash; ///< SHA-256 of the token for control; empty: open to all.
     LogLevel logLevel = LogLevel::Info;
+    std::string front; ///< Settings of an external front, as JSON; empty: the product's own front.
 };
 
+/** The address in a text "IP:PORT"; nothing when it is not one. */
+std::optional<Endpoint> parseEndpoint(std::string_view text);
+
 /** @param error lists every fault with its field and allowed range when nothing is returned. */
 std::optional<NodeSettings> parseNodeSettings(std::string_view text, Error &error);
 
--- /dev/null
+++ b/src/core/dialect.cpp
@@ -0,0 +1,45 @@
+#include "ibiswell/core/dialect.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace ibiswell {
+
+namespace {
+
+HttpAnswer writeRefusal(const HeaderNames &names, const std::string &requestId,
+                        const Refusal &refusal)
+{
+    const ErrorAnswer &answer = answerFor(refusal.kind);
+    boost::json::object body;
+    body["error"] = std::string(answer.name);
+    body["execution"] = std::string(toString(refusal.execution));
+    body["request"] = requestId;
+    body["detail"] = refusal.detail;
+    HttpAnswer http;
+    http.status = answer.httpStatus;
+    http.headers = {{"content-type", "application/json"},
+                    {names.execution, std::string(toString(refusal.execution))},
+                    {names.requestId, requestId}};
+    http.body = boost::json::serialize(body) + "\n";
+    return http;
+}
+
+} // namespace
+
+Dialect ownDialect()
+{
+    Dialect dialect;
+    dialect.names.requestId = "x-request-id";
+    dialect.names.key = "x-ibiswell-key";
+    dialect.names.team = "x-ibiswell-team";
+    dialect.names.deadline = "x-ibiswell-deadline-ms";
+    dialect.names.callToken = "x-ibiswell-call";
+    dialect.names.execution = "x-ibiswell-execution";
+    dialect.takesBearerKeys = true;
+    dialect.reservedPrefix = "x-ibiswell-";
+    dialect.writeRefusal = writeRefusal;
+    return dialect;
+}
+
+} // namespace ibiswell
--- a/src/core/messages.cpp
+++ b/src/core/messages.cpp
@@ -15,15 +15,31 @@
     });
 }
 
+const HeaderField *findField(const std::vector<HeaderField> &fields, std::string_view name)
+{
+    auto found = std::find_if(fields.begin(), fields.end(), [&](const HeaderField &field) {
+        return equalIgnoringCase(field.name, name);
+    });
+    return found == fields.end() ? nullptr : &*found;
+}
+
 } // namespace
 
 std::string_view HttpRequest::header(std::string_view name) const
 {
-    for (const HeaderField &field : headers) {
-        if (equalIgnoringCase(field.name, name))
-            return field.value;
-    }
-    return {};
+    const HeaderField *field = findField(headers, name);
+    return field ? std::string_view(field->value) : std::string_view();
+}
+
+std::string_view HttpAnswer::header(std::string_view name) const
+{
+    const HeaderField *field = findField(headers, name);
+    return field ? std::string_view(field->value) : std::string_view();
+}
+
+bool HttpAnswer::hasHeader(std::string_view name) const
+{
+    return findField(headers, name) != nullptr;
 }
 
 void HttpRequest::removeHeader(std::string_view name)
--- a/src/decisions/policy_store.cpp
+++ b/src/decisions/policy_store.cpp
@@ -62,15 +62,35 @@
     return true;
 }
 
-PolicyAnswer PolicyStore::answerPull(std::uint64_t haveVersion) const
+PolicyAnswer PolicyStore::answerPull(const PolicyPull &pull) const
 {
-    if (haveVersion >= m_policy.version)
-        return {};
-    auto first = std::find_if(m_deltas.begin(), m_deltas.end(),
-                              [&](const PolicyDelta &delta) { return delta.from == haveVersion; });
+    PolicyAnswer answer;
+    if (pull.haveZonesRevision < m_zones.revision)
+        answer.zones = m_zones;
+    if (pull.haveVersion >= m_policy.version)
+        return answer;
+    auto first = std::find_if(m_deltas.begin(), m_deltas.end(), [&](const PolicyDelta &delta) {
+        return delta.from == pull.haveVersion;
+    });
     if (first == m_deltas.end())
-        return {m_document};
-    return {std::vector<PolicyDelta>(first, m_deltas.end())};
+        answer.news = m_document;
+    else
+        answer.news = std::vector<PolicyDelta>(first, m_deltas.end());
+    return answer;
+}
+
+bool PolicyStore::adoptZones(const ZonesOut &zones)
+{
+    if (zones.revision <= m_zones.revision)
+        return false;
+    m_zones = zones;
+    return true;
+}
+
+bool PolicyStore::isZoneOut(std::string_view zone) const
+{
+    bool ordered = std::find(m_zones.zones.begin(), m_zones.zones.end(), zone) != m_zones.zones.end();
+    return ordered || m_policy.isZoneOut(zone);
 }
 
 bool isPolicyWatcher(const Member &self, const std::vector<const Member *> &present)
--- a/src/decisions/retry_policy.cpp
+++ b/src/decisions/retry_policy.cpp
@@ -8,16 +8,37 @@
 
 using namespace std::chrono_literals;
 
-constexpr double earnedByFirstAttempt = 0.1; // retries
-constexpr double largestAllowance = 100; // retries
+/** The calls that a retried request makes count as retries too, at each level below. */
+constexpr double ownPartOfRatio = 0.25;
+constexpr double reserveWithSlack = 2; // retries that a node may save up
 constexpr int mostSends = 6; // of one call, free choices included
 constexpr Duration shortestTimeForRetry = 2ms;
 
 } // namespace
 
-void RetryPolicy::onFirstAttempt()
+RetryAllowance retryAllowance(const FleetRetryBudget &budget)
 {
-    m_allowance = std::min(largestAllowance, m_allowance + earnedByFirstAttempt);
+    RetryAllowance allowance;
+    allowance.earnedByFirstAttempt = budget.ratio * ownPartOfRatio;
+    allowance.largest = budget.slack > 0 ? reserveWithSlack : 1;
+    allowance.atStart = 1;
+    return allowance;
+}
+
+RetryPolicy::RetryPolicy(RetryAllowance allowance)
+    : m_terms(allowance)
+{
+}
+
+double &RetryPolicy::allowanceOf(const std::string &service)
+{
+    return m_allowances.try_emplace(service, m_terms.atStart).first->second;
+}
+
+void RetryPolicy::onFirstAttempt(const std::string &service)
+{
+    double &allowance = allowanceOf(service);
+    allowance = std::min(m_terms.largest, allowance + m_terms.earnedByFirstAttempt);
 }
 
 RetryDecision RetryPolicy::decide(const FailedAttempt &attempt)
@@ -32,13 +53,17 @@
         return GiveUp {"too many targets tried"};
     if (attempt.timeLeft < shortestTimeForRetry)
         return GiveUp {"no time left"};
+    bool mayReachMore = attempt.maximumTargets == 0 || attempt.targetsReached < attempt.maximumTargets;
+    if (!mayReachMore)
+        return GiveUp {"the route allows no further target"};
     if (answer.rechoice == Rechoice::Free && certainlyNotRun)
         return ChooseAgain {};
     if (attempt.retriesLeft <= 0)
         return GiveUp {"the call tree has no retry left"};
-    if (m_allowance < 1)
+    double &allowance = allowanceOf(attempt.service);
+    if (allowance < 1)
         return GiveUp {"the node's retry allowance is spent"};
-    m_allowance -= 1;
+    allowance -= 1;
     return RetryCall {};
 }
 
--- a/src/decisions/target_admission.cpp
+++ b/src/decisions/target_admission.cpp
@@ -12,6 +12,7 @@
 constexpr Duration longestQueueDelay = 60ms;
 constexpr double queueDelayForSlotTime = 0.5; // a long job may wait this part of its own time
 constexpr double slotTimeSmoothing = 0.05;
+constexpr double smallestBearable = 0.05; // calls at once
 /** A call that holds work done elsewhere is let a little further than a new one. */
 constexpr double favourForWorkDone = 1.15;
 
@@ -39,12 +40,21 @@
 Duration TargetAdmission::queueDelay(PriorityClass priority) const
 {
     double calls = static_cast<double>(m_queue.sizeAtOrAbove(priority));
-    return fromSeconds(calls * m_meanSlotSeconds / limit());
+    return fromSeconds(calls * m_meanSlotSeconds / bearableCalls());
+}
+
+double TargetAdmission::bearableCalls() const
+{
+    double calls = limit();
+    if (m_pace.isBounded())
+        calls = std::min(calls, m_pace.rate() * m_meanSlotSeconds);
+    return std::max(calls, smallestBearable);
 }
 
 TargetOccupancy TargetAdmission::occupancy() const
 {
-    return {limit(), m_limit.isFelt(), inFlight(), queueDelay(PriorityClass::Bulk)};
+    bool limitIsFelt = m_slots > 0 || m_limit.isFelt();
+    return {limit(), limitIsFelt, inFlight(), queueDelay(PriorityClass::Bulk)};
 }
 
 void TargetAdmission::noteSlotTime(const std::string &route, Duration slotTime)
@@ -73,9 +83,9 @@
         return refuse(ticket, ErrorKind::PathOverloaded);
     WaitingCall call {ticket,         context.team,           context.priority, context.depth,
                       arrival.weight, now + context.timeLeft, slotTime};
-    if (inFlight() < limit() && m_queue.size() == 0) {
+    if (m_queue.size() == 0 && maySlotStart(now)) {
         m_queue.charge(call.priority, call.team, call.weight, slotTime);
-        start(arrival.route, call);
+        start(now, arrival.route, call);
         return {StartCall {ticket}};
     }
     return enqueue(arrival, std::move(call));
@@ -102,8 +112,9 @@
     return effects;
 }
 
-void TargetAdmission::start(const std::string &route, const WaitingCall &call)
+void TargetAdmission::start(TimePoint now, const std::string &route, const WaitingCall &call)
 {
+    m_pace.onStart(now);
     Running running {route,
                      call.team,
                      call.priority,
@@ -136,7 +147,7 @@
 
 void TargetAdmission::startWaiting(TimePoint now, std::vector<AdmissionEffect> &effects)
 {
-    while (inFlight() < limit()) {
+    while (maySlotStart(now)) {
         std::optional<WaitingCall> call = m_queue.pop();
         if (!call)
             return;
@@ -147,11 +158,22 @@
             effects.push_back(RefuseCall {call->ticket, ErrorKind::DeadlineTooShort});
             continue;
         }
-        start(route, *call);
+        start(now, route, *call);
         effects.push_back(StartCall {call->ticket});
     }
 }
 
+std::vector<AdmissionEffect> TargetAdmission::refuseWaiting(ErrorKind kind)
+{
+    std::vector<AdmissionEffect> effects;
+    for (const auto &[ticket, waiting] : m_waiting) {
+        m_queue.remove(ticket);
+        effects.push_back(RefuseCall {ticket, kind});
+    }
+    m_waiting.clear();
+    return effects;
+}
+
 void TargetAdmission::abandon(Ticket ticket)
 {
     m_queue.remove(ticket);
@@ -183,7 +205,7 @@
     report.pathFraction = m_shares.fraction(priority, team);
     report.inFlight = static_cast<std::uint32_t>(inFlight());
     report.queued = static_cast<std::uint32_t>(m_queue.size());
-    report.limit = static_cast<std::uint32_t>(limit());
+    report.limit = static_cast<std::uint32_t>(std::max(1.0, bearableCalls()));
     report.serviceTime =
         m_meanSlotSeconds > 0 ? fromSeconds(m_meanSlotSeconds) : slotTimeBeforeLearned;
     return report;
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -15,6 +15,21 @@
     return nullptr;
 }
 
+const RoutePolicy *Policy::findRouteByHost(std::string_view host, std::string_view path) const
+{
+    path = path.substr(0, path.find('?'));
+    std::string key(host);
+    key += path;
+    while (key.size() > host.size()) {
+        key.resize(key.rfind('/') + 1);
+        auto found = routeByHostAndPrefix.find(key);
+        if (found != routeByHostAndPrefix.end())
+            return &routes[found->second];
+        key.pop_back();
+    }
+    return nullptr;
+}
+
 const RoutePolicy *Policy::routeByName(std::string_view name) const
 {
     for (const RoutePolicy &route : routes) {
--- a/src/policy/policy_document.cpp
+++ b/src/policy/policy_document.cpp
@@ -15,11 +15,12 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 6> sections {"defaults", "routes",    "teams",
-                                                    "keys",     "zones_out", "exceptions"};
+constexpr std::array<std::string_view, 8> sections {
+    "defaults", "routes", "teams", "keys", "zones_out", "exceptions", "services", "limits"};
 constexpr NumberRange deadlineRange {1, 600'000}; // milliseconds
 constexpr NumberRange rateRange {0, 10'000'000}; // requests a second
 constexpr NumberRange weightRange {0.01, 1000};
+constexpr NumberRange splitWeightRange {0, 1'000'000};
 constexpr std::size_t keyHashLength = 64;
 
 std::string_view view(json::string_view text)
@@ -45,11 +46,14 @@
         forEachIn("keys", &PolicyCompiler::readKey);
         forEachIn("zones_out", &PolicyCompiler::readZoneOut);
         forEachIn("exceptions", &PolicyCompiler::readException);
+        forEachIn("services", &PolicyCompiler::readService);
+        forEachIn("limits", &PolicyCompiler::readLimits);
         if (!m_faults.isEmpty()) {
             error = {ErrorKind::InvalidPolicy, m_faults.text()};
             return std::nullopt;
         }
         std::stable_sort(m_policy.routes.begin(), m_policy.routes.end(), longerPrefix);
+        indexHosts();
         return std::move(m_policy);
     }
 
@@ -62,6 +66,15 @@
         return a.pathPrefix.size() > b.pathPrefix.size();
     }
 
+    void indexHosts()
+    {
+        for (std::size_t i = 0; i < m_policy.routes.size(); ++i) {
+            const RoutePolicy &route = m_policy.routes[i];
+            if (!route.host.empty())
+                m_policy.routeByHostAndPrefix.emplace(route.host + route.pathPrefix, i);
+        }
+    }
+
     void forEachIn(std::string_view section, ReadEntry read)
     {
         std::string prefix = fmt::format("{}/", section);
@@ -110,6 +123,16 @@
         reader.number("rate_per_s", rateRange, team.ratePerSecond);
         reader.number("burst", rateRange, team.burst);
         reader.number("weight", weightRange, team.weight);
+        reader.boolean("unlimited", team.unlimited);
+        if (reader.child("priority"))
+            team.priority = readPriority(reader, PriorityClass::Normal);
+    }
+
+    static PriorityClass readPriority(ObjectReader &reader, PriorityClass absent)
+    {
+        std::string priority {toString(absent)};
+        reader.choice("priority", {"critical", "important", "normal", "bulk"}, priority);
+        return priorityFromString(priority).value_or(absent);
     }
 
     void readTeam(const std::string &name, const json::value &value, const std::string &path)
@@ -123,12 +146,59 @@
 
     void readRouteFields(ObjectReader &reader, RoutePolicy &route)
     {
-        std::string priority {toString(route.priority)};
-        reader.choice("priority", {"critical", "important", "normal", "bulk"}, priority);
-        route.priority = priorityFromString(priority).value_or(PriorityClass::Normal);
+        route.priority = readPriority(reader, route.priority);
         reader.boolean("idempotent", route.idempotent);
         reader.boolean("open", route.open);
         reader.milliseconds("deadline_ms", deadlineRange, route.deadline);
+        reader.milliseconds("timeout_ms", deadlineRange, route.timeout);
+        reader.milliseconds("aim_ms", deadlineRange, route.aim);
+        reader.integer("maximum_targets", {0, 100}, route.maximumTargets);
+    }
+
+    void readSplit(ObjectReader &reader, RoutePolicy &route)
+    {
+        const json::value *split = reader.child("split");
+        if (!split) {
+            reader.requiredText("service", route.service);
+            return;
+        }
+        const json::array *parts = split->if_array();
+        if (!parts || parts->empty()) {
+            m_faults.add(reader.pathOf("split"), "must be a list of {\"service\", \"weight\"}");
+            return;
+        }
+        for (const json::value &part : *parts) {
+            ObjectReader partReader(part, reader.pathOf("split"), m_faults);
+            SplitPart &read = route.split.emplace_back();
+            partReader.requiredText("service", read.service);
+            partReader.number("weight", splitWeightRange, read.weight);
+            partReader.finish();
+        }
+    }
+
+    void readService(const std::string &name, const json::value &value, const std::string &path)
+    {
+        ServicePolicy &service = m_policy.services[name];
+        ObjectReader reader(value, path, m_faults);
+        reader.text("health_path", service.healthPath);
+        reader.integer("maximum_connections", {0, 1'000'000}, service.maximumConnections);
+        reader.number("cold_starts_per_s", rateRange, service.coldStartsPerSecond);
+        reader.finish();
+    }
+
+    void readLimits(const std::string &name, const json::value &value, const std::string &path)
+    {
+        if (name != "callers") {
+            m_faults.add(path, "is not a known entry");
+            return;
+        }
+        CallerLimits &limits = m_policy.limits.emplace();
+        ObjectReader reader(value, path, m_faults);
+        reader.integer("header_bytes", {256, 1 << 20}, limits.headerBytes);
+        reader.integer("body_bytes", {0, 1 << 30}, limits.bodyBytes);
+        reader.milliseconds("slow_client_ms", deadlineRange, limits.slowClient);
+        reader.milliseconds("idle_connection_ms", {1, 86'400'000}, limits.idleConnection);
+        reader.finish();
     }
 
     void readRoute(const std::string &name, const json::value &value, const std::string &path)
@@ -138,7 +208,8 @@
         route.method = "*";
         route.deadline = m_policy.defaults.deadline;
         ObjectReader reader(value, path, m_faults);
-        reader.requiredText("service", route.service);
+        readSplit(reader, route);
+        reader.text("host", route.host);
         reader.text("method", route.method);
         reader.requiredText("path", route.pathPrefix);
         if (!route.pathPrefix.starts_with('/'))
--- a/src/transport/asio.h
+++ b/src/transport/asio.h
@@ -8,10 +8,13 @@
 #include <boost/asio/experimental/awaitable_operators.hpp>
 
 #include <chrono>
+#include <ctime>
 #include <optional>
 #include <string>
 #include <utility>
 
+#include <netinet/tcp.h>
+
 namespace ibiswell {
 
 namespace asio = boost::asio;
@@ -23,19 +26,18 @@
 /** Completion token that gives the error code in place of an exception. */
 inline constexpr auto asResult = asio::as_tuple(asio::use_awaitable);
 
-/** The time that decisions are given. */
+/**
+ * The time that decisions are given. It goes on while the VM is suspended, unlike
+ * std::chrono::steady_clock, so that what is valid for a time lapses in a suspension.
+ */
 inline TimePoint steadyNow()
 {
-    auto since = std::chrono::steady_clock::now().time_since_epoch();
+    timespec now {};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    auto since = std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
     return TimePoint(std::chrono::duration_cast<Duration>(since));
 }
 
-/** The same moment on the timers' clock. */
-inline std::chrono::steady_clock::time_point onTimerClock(TimePoint time)
-{
-    return std::chrono::steady_clock::time_point(time.time_since_epoch());
-}
-
 /**
  * Throws when the task that awaits it was cancelled. An operation that is cancelled ends like one
  * that failed; without this the task would go on until its next wait and take the failure for
@@ -93,6 +95,25 @@
     return ec != asio::error::would_block;
 }
 
+/**
+ * Has the system probe an idle connection, so that one whose path went silent ends within a few
+ * seconds.
+ */
+inline void probeWhenIdle(tcp::socket &socket)
+{
+    constexpr int secondsUntilProbe = 1;
+    constexpr int secondsBetweenProbes = 1;
+    constexpr int unansweredProbes = 2;
+    using Seconds = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using Between = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using Count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    boost::system::error_code ignored; // the connection works without probes
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(Seconds(secondsUntilProbe), ignored);
+    socket.set_option(Between(secondsBetweenProbes), ignored);
+    socket.set_option(Count(unansweredProbes), ignored);
+}
+
 /** The endpoint for an IP number; nothing when the text is not one. */
 inline std::optional<tcp::endpoint> toTcp(const Endpoint &endpoint)
 {
--- a/src/transport/call_path.cpp
+++ b/src/transport/call_path.cpp
@@ -13,6 +13,7 @@
     TimePoint deadline;
     std::vector<std::string> excluded;
     int sends = 0;
+    int targetsReached = 0; ///< Backend servers that got the request, or may have got it.
     double pathFraction = 1;
     std::uint8_t retriesLeft = 0;
 };
@@ -61,7 +62,7 @@
     attempt.deadline = steadyNow() + entered.context.timeLeft;
     attempt.retriesLeft = entered.context.retriesLeft;
     attempt.entered = std::move(entered);
-    m_retries.onFirstAttempt();
+    m_retries.onFirstAttempt(attempt.entered.service);
     Refusal refusal {ErrorKind::NoTarget, "", Execution::NotRun};
     for (;;) {
         std::optional<RouteChoice> choice = choose(attempt);
@@ -83,7 +84,7 @@
 std::optional<RouteChoice> CallPath::choose(Attempt &attempt)
 {
     RouteQuery query {attempt.entered.service,
-                      [this](std::string_view zone) { return m_policy.policy().isZoneOut(zone); },
+                      [this](std::string_view zone) { return m_policy.isZoneOut(zone); },
                       &attempt.excluded};
     std::optional<RouteChoice> choice = m_router.choose(steadyNow(), query, m_node.random);
     const CallContext &context = attempt.entered.context;
@@ -153,7 +154,13 @@
 Task<bool> CallPath::retry(Attempt &attempt, const RouteChoice &choice, const Refusal &refusal)
 {
     FailedAttempt failed {refusal, attempt.entered.route.idempotent, attempt.sends,
-                          attempt.retriesLeft, attempt.deadline - steadyNow()};
+                          attempt.retriesLeft, attempt.deadline - steadyNow(),
+                          attempt.entered.service, attempt.targetsReached,
+                          attempt.entered.route.maximumTargets};
+    bool reachedTarget = refusal.execution != Execution::NotRun
+        || answerFor(refusal.kind).rechoice == Rechoice::FromBudget;
+    attempt.targetsReached += reachedTarget ? 1 : 0;
+    failed.targetsReached = attempt.targetsReached;
     RetryDecision decision = m_retries.decide(failed);
     attempt.excluded.push_back(choice.node);
     std::string_view verdict;
--- a/src/transport/front.cpp
+++ b/src/transport/front.cpp
@@ -1,7 +1,7 @@
 #include "front.h"
 
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
+#include "ibiswell/decisions/return_time.h"
+
 #include <fmt/format.h>
 
 namespace ibiswell {
@@ -10,55 +10,52 @@
 
 constexpr std::string_view controlPrefix = "/-/";
 
-HttpAnswer refusalAnswer(const std::string &requestId, const Refusal &refusal)
+CallerLimits limitsFrom(const NodeSettings &settings, const PolicyStore &policy)
 {
-    const ErrorAnswer &answer = answerFor(refusal.kind);
-    boost::json::object body;
-    body["error"] = std::string(answer.name);
-    body["execution"] = std::string(toString(refusal.execution));
-    body["request"] = requestId;
-    body["detail"] = refusal.detail;
-    HttpAnswer http;
-    http.status = answer.httpStatus;
-    http.headers = {{"content-type", "application/json"},
-                    {std::string(headers::execution), std::string(toString(refusal.execution))},
-                    {std::string(headers::requestId), requestId}};
-    http.body = boost::json::serialize(body) + "\n";
-    return http;
+    if (policy.policy().limits)
+        return *policy.policy().limits;
+    CallerLimits limits;
+    limits.headerBytes = settings.headerBytes;
+    limits.bodyBytes = settings.bodyBytes;
+    limits.slowClient = settings.slowClient;
+    return limits;
 }
 
-HttpServerLimits limitsFrom(const NodeSettings &settings)
+RateGuard rateGuard(Kernel &kernel)
 {
-    HttpServerLimits limits;
-    limits.headerBytes = static_cast<std::size_t>(settings.headerBytes);
-    limits.bodyBytes = static_cast<std::size_t>(settings.bodyBytes);
-    limits.connections = settings.connections;
-    limits.slowClient = settings.slowClient;
-    return limits;
+    if (QuotaService *quotas = kernel.find<QuotaService>("quotas"))
+        return quotas;
+    return &kernel.get<RateService>("rates");
 }
 
 } // namespace
 
 Front::Front(Kernel &kernel, asio::io_context &context)
     : m_node(kernel.get<NodeState>("node"))
+    , m_dialect(kernel.get<Dialect>("dialect"))
+    , m_policy(kernel.get<PolicyStore>("policy"))
     , m_entry(kernel.get<EntryAdmission>("entry"))
     , m_calls(kernel.get<CallTable>("calls"))
     , m_path(kernel.get<CallPath>("call-path"))
-    , m_rates(kernel.get<RateService>("rates"))
-    , m_keys(kernel.get<KeyService>("keys"))
+    , m_rates(rateGuard(kernel))
+    , m_keys(kernel.find<KeyService>("keys"))
     , m_decisions(kernel.get<DecisionLog>("decisions"))
     , m_metrics(kernel.get<Metrics>("metrics"))
-    , m_status(kernel.get<StatusPage>("status"))
-    , m_server(context, limitsFrom(m_node.settings),
-               [this](HttpRequest request) { return handle(std::move(request)); })
+    , m_status(kernel.find<StatusPage>("status"))
+    , m_server(
+          context, [this] { return limitsFrom(m_node.settings, m_policy); },
+          [this](HttpRequest request) { return handle(std::move(request)); },
+          m_node.settings.connections)
 {
 }
 
 Task<HttpAnswer> Front::handle(HttpRequest request)
 {
-    if (request.path.starts_with(controlPrefix))
-        co_return m_status.answer(request);
-    std::string token {request.header(headers::call)};
+    if (m_status && request.path.starts_with(controlPrefix))
+        co_return m_status->answer(request);
+    std::string token;
+    if (!m_dialect.names.callToken.empty())
+        token = request.header(m_dialect.names.callToken);
     if (!token.empty())
         co_return co_await handleBelow(std::move(request), std::move(token));
     co_return co_await handleCaller(std::move(request));
@@ -67,7 +64,7 @@
 Task<HttpAnswer> Front::handleCaller(HttpRequest request)
 {
     TimePoint start = steadyNow();
-    std::string requestId {request.header(headers::requestId)};
+    std::string requestId {request.header(m_dialect.names.requestId)};
     if (requestId.empty())
         requestId = m_node.makeId();
     EntryVerdict verdict = m_entry.admit(start, std::move(request), requestId, m_node.random);
@@ -81,24 +78,43 @@
 /** Asks for the rate and, where the request must run once, for the right to run it. */
 Task<CallOutcome> Front::runEntered(Entered entered)
 {
+    entered.context.callerService = m_node.settings.service;
     if (!entered.route.open) {
-        std::optional<Refusal> refusal = co_await m_rates.pass(entered.context.team);
+        std::optional<Refusal> refusal = co_await passRate(entered.context.team);
         if (refusal)
             co_return CallOutcome {std::move(*refusal)};
     }
-    bool claims = !entered.route.idempotent && !entered.idempotencyKey.empty();
+    bool claims = m_keys && !entered.route.idempotent && !entered.idempotencyKey.empty();
     if (!claims)
         co_return co_await m_path.run(std::move(entered));
-    KeyClaimAnswer claimed = co_await m_keys.claim(entered);
+    KeyClaimAnswer claimed = co_await m_keys->claim(entered);
     if (KeyDone *done = std::get_if<KeyDone>(&claimed.verdict))
         co_return CallOutcome {std::move(done->answer)};
     if (Refusal *refusal = std::get_if<Refusal>(&claimed.verdict))
         co_return CallOutcome {std::move(*refusal)};
     CallOutcome outcome = co_await m_path.run(entered);
-    m_keys.settle(entered, outcome.result);
+    m_keys->settle(entered, outcome.result);
     co_return outcome;
 }
 
+Task<std::optional<Refusal>> Front::passRate(const std::string &team)
+{
+    struct Pass
+    {
+        const std::string &team;
+        Task<std::optional<Refusal>> operator()(RateService *rates) const
+        {
+            co_return co_await rates->pass(team);
+        }
+        Task<std::optional<Refusal>> operator()(QuotaService *quotas) const
+        {
+            co_return quotas->pass(team);
+        }
+    } pass {team};
+    Task<std::optional<Refusal>> passing = std::visit(pass, m_rates);
+    co_return co_await std::move(passing);
+}
+
 Task<HttpAnswer> Front::handleBelow(HttpRequest request, std::string token)
 {
     TimePoint start = steadyNow();
@@ -134,10 +150,15 @@
     PriorityClass priority = entered ? entered->context.priority : PriorityClass::Normal;
     if (HttpAnswer *answer = std::get_if<HttpAnswer>(&result)) {
         m_metrics.answered(entered ? entered->route.name : "", team, priority, steadyNow() - start);
-        answer->headers.push_back({std::string(headers::requestId), requestId});
+        if (!answer->hasHeader(m_dialect.names.requestId))
+            answer->headers.push_back({m_dialect.names.requestId, requestId});
         return std::move(*answer);
     }
-    const Refusal &refusal = std::get<Refusal>(result);
+    Refusal &refusal = std::get<Refusal>(result);
+    bool mayReturn = refusal.execution == Execution::NotRun && entered;
+    if (mayReturn)
+        refusal.retryAfter = returnAfter(
+            refusal, entered->context.timeLeft - (steadyNow() - start), m_node.random);
     m_metrics.refused(refusal.kind, team, priority);
     m_decisions.note(requestId, "refuse",
                      {{"team", team},
@@ -145,7 +166,7 @@
                       {"error", std::string(answerFor(refusal.kind).name)},
                       {"execution", std::string(toString(refusal.execution))},
                       {"reason", refusal.detail}});
-    return refusalAnswer(requestId, refusal);
+    return m_dialect.writeRefusal(m_dialect.names, requestId, refusal);
 }
 
 } // namespace ibiswell
--- a/src/transport/front.h
+++ b/src/transport/front.h
@@ -5,6 +5,7 @@
 #include "http_server.h"
 #include "key_service.h"
 #include "node_state.h"
+#include "quota_service.h"
 #include "rate_service.h"
 #include "status_page.h"
 
@@ -16,6 +17,9 @@
 
 namespace ibiswell {
 
+/** How requests are held to their team's rate over all VMs. */
+using RateGuard = std::variant<RateService *, QuotaService *>;
+
 /**
  * The HTTP front: takes requests from callers and from the local backend server, and the
  * operators' requests below "/-/".
@@ -24,33 +28,39 @@
 {
 public:
     /**
-     * Looks up "node", "entry", "calls", "call-path", "rates", "keys", "decisions", "metrics" and
-     * "status".
+     * Looks up "node", "dialect", "policy", "entry", "calls", "call-path", "decisions", "metrics",
+     * "quotas" or "rates" and, where they are, "keys" and "status".
      */
     Front(Kernel &kernel, asio::io_context &context);
 
     bool listen(const Endpoint &endpoint) { return m_server.listen(endpoint); }
+    /** Goes on serving, but ends each connection after its next answer. */
+    void drain() { m_server.drain(); }
     void stop() { m_server.stop(); }
     std::size_t connections() const { return m_server.connections(); }
+    std::size_t busyConnections() const { return m_server.busyConnections(); }
     const std::optional<Error> &lastError() const { return m_server.lastError(); }
 
 private:
     Task<HttpAnswer> handle(HttpRequest request);
     Task<HttpAnswer> handleCaller(HttpRequest request);
     Task<HttpAnswer> handleBelow(HttpRequest request, std::string token);
+    Task<std::optional<Refusal>> passRate(const std::string &team);
     Task<CallOutcome> runEntered(Entered entered);
     HttpAnswer finish(const std::string &requestId, const Entered *entered, TimePoint start,
                       CallResult result);
 
     NodeState &m_node;
+    const Dialect &m_dialect;
+    PolicyStore &m_policy;
     EntryAdmission &m_entry;
     CallTable &m_calls;
     CallPath &m_path;
-    RateService &m_rates;
-    KeyService &m_keys;
+    RateGuard m_rates;
+    KeyService *m_keys; ///< Null where callers have no idempotency keys.
     DecisionLog &m_decisions;
     Metrics &m_metrics;
-    StatusPage &m_status;
+    StatusPage *m_status; ///< Null where another front serves the operators.
     HttpServer m_server;
 };
 
--- a/src/transport/gossip.cpp
+++ b/src/transport/gossip.cpp
@@ -102,7 +102,9 @@
     }
     m_contact.onPeerHeard(steadyNow());
     apply(m_membership.onDatagram(steadyNow(), *datagram));
-    if (datagram->policyVersion > m_policy.version() && !m_pulling) {
+    bool isBehind = datagram->policyVersion > m_policy.version()
+        || datagram->zonesRevision > m_policy.zonesOut().revision;
+    if (isBehind && !m_pulling) {
         m_pulling = true;
         asio::co_spawn(m_context, pullPolicy(datagram->senderEndpoint), asio::detached);
     }
@@ -134,13 +136,13 @@
 
 Task<bool> Gossip::joinBy(Endpoint contact)
 {
-    PeerMessage request = RosterRequest {};
+    PeerMessage request = RosterRequest {m_membership.self()};
     PeerReply reply = co_await m_links.exchange(contact, request, pullLimit);
     PeerMessage *message = std::get_if<PeerMessage>(&reply);
     RosterAnswer *roster = message ? std::get_if<RosterAnswer>(message) : nullptr;
     if (!roster)
         co_return false;
-    apply(m_membership.onRoster(steadyNow(), roster->members));
+    onMembers(roster->members);
     apply(m_membership.spread(MemberNews {}, policyNewsSpread, m_node.random));
     co_await pullPolicy(contact);
     co_return true;
@@ -148,13 +150,35 @@
 
 Task<void> Gossip::pullPolicy(Endpoint from)
 {
-    PeerMessage pull = PolicyPull {m_policy.version()};
+    PeerMessage pull = PolicyPull {m_policy.version(), m_policy.zonesOut().revision};
     PeerReply reply = co_await m_links.exchange(from, pull, pullLimit);
     m_pulling = false;
     PeerMessage *message = std::get_if<PeerMessage>(&reply);
     PolicyAnswer *answer = message ? std::get_if<PolicyAnswer>(message) : nullptr;
     if (answer && m_policy.adopt(*answer))
         onPolicyAdopted();
+    if (answer && m_policy.adoptZones(answer->zones))
+        onZonesAdopted();
+}
+
+void Gossip::onMembers(const std::vector<Member> &members)
+{
+    apply(m_membership.onRoster(steadyNow(), members));
+}
+
+void Gossip::sendTo(const Endpoint &member, GossipBody body)
+{
+    send({member, m_membership.frame(std::move(body))});
+}
+
+void Gossip::onZonesAdopted()
+{
+    const ZonesOut &zones = m_policy.zonesOut();
+    m_membership.setZonesRevision(zones.revision);
+    m_log.write(steadyNow(), LogLevel::Info, "zones-adopted",
+                {{"revision", fmt::to_string(zones.revision)},
+                 {"out", fmt::format("{}", fmt::join(zones.zones, ","))}});
+    apply(m_membership.spread(PolicyNews {}, policyNewsSpread, m_node.random));
 }
 
 void Gossip::onPolicyAdopted()
--- a/src/transport/gossip.h
+++ b/src/transport/gossip.h
@@ -21,7 +21,7 @@
 {
 public:
     /** Takes a datagram whose body is not the membership's own. */
-    using TokenHandler = std::function<void(const Datagram &datagram)>;
+    using QuotaHandler = std::function<void(const Datagram &datagram)>;
 
     /**
      * Looks up "node", "membership", "router", "contact", "policy", "peer-links", "log" and
@@ -30,12 +30,18 @@
     Gossip(Kernel &kernel, asio::io_context &context);
 
     bool listen(const Endpoint &endpoint);
-    void setTokenHandler(TokenHandler handler) { m_tokenHandler = std::move(handler); }
+    void setTokenHandler(QuotaHandler handler) { m_tokenHandler = std::move(handler); }
     void send(const SendDatagram &effect);
     void apply(const MembershipEffects &effects);
 
     /** Joins by a node's roster; false when it did not answer. */
     Task<bool> joinBy(Endpoint contact);
+    /** Takes in members that a store or another node told of. */
+    void onMembers(const std::vector<Member> &members);
+    /** Sends @p body to one member. */
+    void sendTo(const Endpoint &member, GossipBody body);
+    /** Takes zones out that came from the store or a peer; tells others when they are newer. */
+    void onZonesAdopted();
     /** Takes a policy that came from the platform or a peer; tells others when it is newer. */
     void onPolicyAdopted();
     /** Announces whether the target here takes work. */
@@ -60,7 +66,7 @@
     Log &m_log;
     Metrics &m_metrics;
     udp::socket m_socket;
-    TokenHandler m_tokenHandler;
+    QuotaHandler m_tokenHandler;
     bool m_pulling = false;
     std::optional<Error> m_lastError;
 };
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include <charconv>
+
 namespace ibiswell {
 
 namespace {
@@ -17,6 +19,27 @@
 constexpr std::size_t answerHeaderBytes = 64u << 10;
 constexpr std::size_t answerBodyBytes = maximumPeerMessageBytes - (1u << 20);
 
+/** Under what servers usually keep an idle connection for. */
+constexpr Duration defaultIdleLimit = 8s;
+/** A request must not cross the server's close of an idle connection. */
+constexpr Duration idleMargin = 1s;
+constexpr int mostCrossedAnswers = 2; // read and dropped before the right one
+
+/** How long the connection may lie idle, from "Keep-Alive: timeout=SECONDS". */
+Duration idleLimitFrom(std::string_view keepAlive)
+{
+    constexpr std::string_view name = "timeout=";
+    std::size_t at = keepAlive.find(name);
+    int seconds = 0;
+    if (at == std::string_view::npos)
+        return defaultIdleLimit;
+    const char *begin = keepAlive.data() + at + name.size();
+    auto [end, ec] = std::from_chars(begin, keepAlive.data() + keepAlive.size(), seconds);
+    if (ec != std::errc {})
+        return defaultIdleLimit;
+    return std::max<Duration>(Duration::zero(), std::chrono::seconds(seconds) - idleMargin);
+}
+
 Refusal unknown(ErrorKind kind, std::string detail)
 {
     return {kind, std::move(detail), Execution::Unknown};
@@ -24,18 +47,21 @@
 
 } // namespace
 
-HttpClient::HttpClient(Endpoint server)
+HttpClient::HttpClient(Endpoint server, HttpClientOptions options)
     : m_server(std::move(server))
+    , m_options(std::move(options))
 {
 }
 
+/** The connection used last: the others then lie idle until they are dropped. */
 std::optional<tcp::socket> HttpClient::takeIdle()
 {
+    TimePoint now = steadyNow();
     while (!m_idle.empty()) {
-        tcp::socket socket = std::move(m_idle.back());
+        Idle idle = std::move(m_idle.back());
         m_idle.pop_back();
-        if (!isSpoiled(socket))
-            return std::optional<tcp::socket>(std::move(socket));
+        if (now < idle.usableUntil && !isSpoiled(idle.socket))
+            return std::optional<tcp::socket>(std::move(idle.socket));
     }
     return std::nullopt;
 }
@@ -44,32 +70,37 @@
 {
     TimePoint start = steadyNow();
     std::optional<tcp::socket> socket = takeIdle();
-    if (!socket)
+    if (!socket) {
+        ++m_connects;
         socket = co_await connectTo(m_server, std::min(limit, connectLimit));
+        if (socket && m_options.probeWhenIdle)
+            probeWhenIdle(*socket);
+    }
     if (!socket)
         co_return Refusal {ErrorKind::ConnectFailed,
                            fmt::format("no connection to {}", toString(m_server)),
                            Execution::NotRun};
-    bool reusable = false;
+    Reuse reuse;
     Duration left = std::max<Duration>(1ms, limit - (steadyNow() - start));
-    auto exchanging = exchangeOn(*socket, request, reusable);
+    auto exchanging = exchangeOn(*socket, request, reuse);
     std::optional<CallResult> result = co_await withTimeout(std::move(exchanging), left);
     if (!result)
         co_return unknown(ErrorKind::DeadlineExceeded, "no whole answer in time");
-    if (reusable && m_idle.size() < idleKept)
-        m_idle.push_back(std::move(*socket));
+    if (reuse.allowed && m_idle.size() < idleKept)
+        m_idle.push_back({std::move(*socket), steadyNow() + reuse.idleLimit});
     co_return std::move(*result);
 }
 
 Task<CallResult> HttpClient::exchangeOn(tcp::socket &socket, const HttpRequest &request,
-                                        bool &reusable)
+                                        Reuse &reuse)
 {
     http::request<http::string_body> message;
     message.method_string(request.method);
     message.target(request.path);
-    message.set(http::field::host, toString(m_server));
+    if (!m_options.keepHost)
+        message.set(http::field::host, toString(m_server));
     for (const HeaderField &field : request.headers) {
-        if (http::string_to_field(field.name) != http::field::host)
+        if (m_options.keepHost || http::string_to_field(field.name) != http::field::host)
             message.insert(field.name, field.value);
     }
     message.body() = request.body;
@@ -77,26 +108,46 @@
     auto [writeError, written] = co_await http::async_write(socket, message, asResult);
     if (writeError)
         co_return unknown(ErrorKind::ConnectionLost, writeError.message());
+    co_return co_await readAnswer(socket, request, reuse);
+}
 
+Task<CallResult> HttpClient::readAnswer(tcp::socket &socket, const HttpRequest &request,
+                                        Reuse &reuse)
+{
     beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
-    parser.header_limit(answerHeaderBytes);
-    parser.body_limit(answerBodyBytes);
-    parser.skip(request.method == "HEAD");
-    auto [readError, read] = co_await http::async_read(socket, buffer, parser, asResult);
-    if (readError && !parser.is_header_done())
-        co_return unknown(ErrorKind::ConnectionLost, readError.message());
-    if (readError)
-        co_return unknown(ErrorKind::AnswerTruncated, readError.message());
-    if (parser.need_eof() && request.method != "HEAD")
-        co_return unknown(ErrorKind::AnswerTruncated, "the answer does not state its length");
-    reusable = parser.get().keep_alive() && buffer.size() == 0;
-    http::response<http::string_body> response = parser.release();
-    HttpAnswer answer;
-    answer.status = static_cast<int>(response.result_int());
-    answer.headers = endToEndFields(response);
-    answer.body = std::move(response.body());
-    co_return answer;
+    for (int dropped = 0; dropped <= mostCrossedAnswers; ++dropped) {
+        http::response_parser<http::string_body> parser;
+        parser.header_limit(answerHeaderBytes);
+        parser.body_limit(answerBodyBytes);
+        parser.skip(request.method == "HEAD");
+        auto [readError, read] = co_await http::async_read(socket, buffer, parser, asResult);
+        if (readError && !parser.is_header_done())
+            co_return unknown(ErrorKind::ConnectionLost, readError.message());
+        if (readError)
+            co_return unknown(ErrorKind::AnswerTruncated, readError.message());
+        if (parser.need_eof() && request.method != "HEAD" && !m_options.unframedAnswers)
+            co_return unknown(ErrorKind::AnswerTruncated, "the answer does not state its length");
+        bool keepAlive = parser.get().keep_alive();
+        Duration idleLimit = idleLimitFrom(parser.get()[http::field::keep_alive]);
+        http::response<http::string_body> response = parser.release();
+        HttpAnswer answer;
+        answer.status = static_cast<int>(response.result_int());
+        answer.headers = endToEndFields(response);
+        answer.body = std::move(response.body());
+        if (!isAnswerTo(request, answer))
+            continue;
+        reuse = {keepAlive && buffer.size() == 0 && dropped == 0, idleLimit};
+        co_return answer;
+    }
+    co_return unknown(ErrorKind::AnswerTruncated, "only answers to other requests arrived");
+}
+
+bool HttpClient::isAnswerTo(const HttpRequest &request, const HttpAnswer &answer) const
+{
+    if (m_options.echoedField.empty())
+        return true;
+    std::string_view echoed = answer.header(m_options.echoedField);
+    return echoed.empty() || echoed == request.header(m_options.echoedField);
 }
 
 } // namespace ibiswell
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace ibiswell {
 
 namespace {
@@ -29,6 +31,19 @@
     return {0, {}};
 }
 
+/**
+ * Whether the end of the body is not known: a transfer coding other than "chunked" leaves the
+ * parser to take the body for the next request.
+ */
+bool hasUnknownCoding(const Parser &parser)
+{
+    auto coding = parser.get().find(http::field::transfer_encoding);
+    if (coding == parser.get().end())
+        return false;
+    return parser.get().count(http::field::transfer_encoding) > 1
+        || !beast::iequals(coding->value(), "chunked");
+}
+
 HttpRequest toRequest(Parser &parser)
 {
     http::request<http::string_body> message = parser.release();
@@ -56,14 +71,21 @@
 
 } // namespace
 
-HttpServer::HttpServer(asio::io_context &context, HttpServerLimits limits, Handler handler)
+HttpServer::HttpServer(asio::io_context &context, Limits limits, Handler handler, int connections)
     : m_context(context)
-    , m_limits(limits)
+    , m_limits(std::move(limits))
     , m_handler(std::move(handler))
+    , m_mostConnections(static_cast<std::size_t>(connections))
     , m_acceptor(context)
 {
 }
 
+std::size_t HttpServer::busyConnections() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_sessions.begin(), m_sessions.end(), [](const Session &session) { return session.busy; }));
+}
+
 bool HttpServer::listen(const Endpoint &endpoint)
 {
     m_lastError = openAcceptor(m_acceptor, endpoint);
@@ -104,7 +126,7 @@
 {
     boost::system::error_code ignored;
     session->socket.set_option(tcp::no_delay(true), ignored);
-    if (m_sessions.size() > static_cast<std::size_t>(m_limits.connections))
+    if (m_sessions.size() > m_mostConnections)
         co_await refuse(session->socket, 503, "too many connections");
     else
         co_await serveRequests(*session);
@@ -114,51 +136,71 @@
 
 Task<void> HttpServer::serveRequests(Session &session)
 {
-    beast::flat_buffer buffer(m_limits.headerBytes + 4096);
+    constexpr std::size_t readAhead = 4096; // bytes of a body that arrive with the header
+    beast::flat_buffer buffer(static_cast<std::size_t>(m_limits().headerBytes) + readAhead);
     for (;;) {
-        Parser parser;
-        parser.header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
-        parser.body_limit(m_limits.bodyBytes);
-        if (buffer.size() == 0) {
-            auto idle = session.socket.async_wait(tcp::socket::wait_read, asResult);
-            auto waited = co_await withTimeout(std::move(idle), m_limits.idleConnection);
-            if (!waited || std::get<0>(*waited) || m_stopping)
-                co_return;
-        }
-        auto reading = http::async_read(session.socket, buffer, parser, asResult);
-        auto read = co_await withTimeout(std::move(reading), m_limits.slowClient);
-        if (!read) {
-            co_await refuse(session.socket, 408, "the request was sent too slowly");
-            co_return;
-        }
-        if (std::get<0>(*read)) {
-            ReadFault fault = faultOf(std::get<0>(*read));
-            if (fault.status != 0)
-                co_await refuse(session.socket, fault.status, fault.text);
+        std::optional<RequestRead> read = co_await readRequest(session, buffer);
+        if (!read)
             co_return;
-        }
-        bool keepAlive = parser.get().keep_alive();
-        HttpRequest request = toRequest(parser);
-        bool goesOn = co_await serveOne(session, std::move(request), keepAlive);
+        bool goesOn = co_await serveOne(session, std::move(read->request), read->keepAlive);
         if (!goesOn)
             co_return;
     }
 }
 
+Task<std::optional<HttpServer::RequestRead>> HttpServer::readRequest(Session &session,
+                                                                     beast::flat_buffer &buffer)
+{
+    CallerLimits limits = m_limits();
+    Parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    parser.body_limit(static_cast<std::uint64_t>(limits.bodyBytes));
+    if (buffer.size() == 0) {
+        auto idle = session.socket.async_wait(tcp::socket::wait_read, asResult);
+        auto waited = co_await withTimeout(std::move(idle), limits.idleConnection);
+        if (!waited || std::get<0>(*waited) || m_stopping)
+            co_return std::nullopt;
+    }
+    session.busy = true;
+    auto readingHeader = http::async_read_header(session.socket, buffer, parser, asResult);
+    auto header = co_await withTimeout(std::move(readingHeader), limits.slowClient);
+    bool headerRead = header && !std::get<0>(*header);
+    if (headerRead && hasUnknownCoding(parser)) {
+        co_await refuse(session.socket, 501, "the transfer coding of the body is not known");
+        co_return std::nullopt;
+    }
+    auto read = std::move(header);
+    if (headerRead && !parser.is_done()) {
+        auto readingBody = http::async_read(session.socket, buffer, parser, asResult);
+        read = co_await withTimeout(std::move(readingBody), limits.slowClient);
+    }
+    if (!read) {
+        co_await refuse(session.socket, 408, "the request was sent too slowly");
+        co_return std::nullopt;
+    }
+    if (std::get<0>(*read)) {
+        ReadFault fault = faultOf(std::get<0>(*read));
+        if (fault.status != 0)
+            co_await refuse(session.socket, fault.status, fault.text);
+        co_return std::nullopt;
+    }
+    bool keepAlive = parser.get().keep_alive();
+    co_return RequestRead {toRequest(parser), keepAlive};
+}
+
 Task<bool> HttpServer::serveOne(Session &session, HttpRequest request, bool keepAlive)
 {
     using namespace asio::experimental::awaitable_operators;
     bool isHead = request.method == "HEAD";
-    session.busy = true;
     auto ended = co_await (m_handler(std::move(request)) || untilClosed(session.socket));
     if (ended.index() != 0)
         co_return false;
-    bool goesOn = keepAlive && !m_stopping;
+    bool goesOn = keepAlive && !m_stopping && !m_draining;
     auto response = toResponse(std::move(std::get<0>(ended)), goesOn, isHead);
     auto writing = http::async_write(session.socket, response, asResult);
-    auto written = co_await withTimeout(std::move(writing), m_limits.slowClient);
+    auto written = co_await withTimeout(std::move(writing), m_limits().slowClient);
     session.busy = false;
-    co_return goesOn &&written && !std::get<0>(*written) && !m_stopping;
+    co_return goesOn && written && !std::get<0>(*written) && !m_stopping;
 }
 
 Task<void> HttpServer::refuse(tcp::socket &socket, int status, std::string_view text)
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "asio.h"
+#include "http_messages.h"
 
 #include "ibiswell/core/messages.h"
+#include "ibiswell/policy/policy.h"
 
 #include <cstddef>
 #include <functional>
@@ -10,16 +12,6 @@
 
 namespace ibiswell {
 
-/** Bounds on what a client may ask of an HTTP server; each has its own answer. */
-struct HttpServerLimits
-{
-    std::size_t headerBytes = 16u << 10;
-    std::size_t bodyBytes = 8u << 20;
-    int connections = 4096;
-    Duration slowClient = std::chrono::seconds(10); ///< To send one request once it has begun.
-    Duration idleConnection = std::chrono::seconds(60);
-};
-
 /**
  * Serves HTTP/1.1: one task for each connection, which reads a request, lets the handler answer
  * it and writes the answer, until the client closes. The handler is cancelled when its client
@@ -29,14 +21,22 @@
 {
 public:
     using Handler = std::function<Task<HttpAnswer>(HttpRequest request)>;
+    /** Bounds on what a client may send; asked for each request, since a policy may set them. */
+    using Limits = std::function<CallerLimits()>;
+    static constexpr int defaultConnections = 4096;
 
-    HttpServer(asio::io_context &context, HttpServerLimits limits, Handler handler);
+    HttpServer(asio::io_context &context, Limits limits, Handler handler,
+               int connections = defaultConnections);
 
     /** False, with lastError(), when the address cannot be had. */
     bool listen(const Endpoint &endpoint);
+    /** Goes on serving, but ends each connection after its next answer. */
+    void drain() { m_draining = true; }
     /** Takes no new connection, closes the idle ones and ends the others after their answer. */
     void stop();
     std::size_t connections() const { return m_sessions.size(); }
+    /** Connections whose request is not answered yet. */
+    std::size_t busyConnections() const;
     const std::optional<Error> &lastError() const { return m_lastError; }
 
 private:
@@ -50,18 +50,27 @@
         bool busy = false;
     };
     using SessionIt = std::list<Session>::iterator;
+    struct RequestRead
+    {
+        HttpRequest request;
+        bool keepAlive = false;
+    };
 
     Task<void> acceptLoop();
     Task<void> serve(SessionIt session);
     Task<void> serveRequests(Session &session);
+    /** A request whose framing is safe to pass on; nothing when the connection has ended. */
+    Task<std::optional<RequestRead>> readRequest(Session &session, beast::flat_buffer &buffer);
     Task<bool> serveOne(Session &session, HttpRequest request, bool keepAlive);
     Task<void> refuse(tcp::socket &socket, int status, std::string_view text);
 
     asio::io_context &m_context;
-    HttpServerLimits m_limits;
+    Limits m_limits;
     Handler m_handler;
+    std::size_t m_mostConnections;
     tcp::acceptor m_acceptor;
     std::list<Session> m_sessions;
+    bool m_draining = false;
     bool m_stopping = false;
     std::optional<Error> m_lastError;
 };
--- a/src/transport/node.cpp
+++ b/src/transport/node.cpp
@@ -5,11 +5,15 @@
 #include "gossip.h"
 #include "key_service.h"
 #include "lease_service.h"
+#include "object_store.h"
 #include "peer_server.h"
 #include "platform_sync.h"
+#include "quota_service.h"
 #include "rate_service.h"
 #include "status_page.h"
+#include "store_sync.h"
 #include "target_service.h"
+#include "target_watch.h"
 
 #include "ibiswell/decisions/contact.h"
 #include "ibiswell/kernel/kernel.h"
@@ -28,7 +32,8 @@
 constexpr Duration healthInterval = 500ms;
 constexpr int failuresBeforeLeaving = 2;
 /** Other nodes may still choose this one; until then they are refused with "not run". */
-constexpr Duration noticeBeforeStop = 1500ms;
+constexpr Duration noticeBeforeStop = 2500ms;
+constexpr Duration withdrawLimit = 500ms;
 constexpr Duration stopCheckInterval = 20ms;
 constexpr Duration tidyInterval = 1s;
 
@@ -51,18 +56,36 @@
 
 struct Node::Parts
 {
-    explicit Parts(NodeSettings settings);
+    Parts(NodeSettings settings, FrontChoice chosen);
+
+    void addDecisions();
+    void addTransport();
+    void addOwn(const OwnFront &);
+    void addOwn(const ExternalFront &front);
+    void addFront(const OwnFront &);
+    void addFront(const ExternalFront &front);
+    std::optional<Error> listen(const OwnFront &) { return std::nullopt; }
+    std::optional<Error> listen(const ExternalFront &front) { return front.listen(kernel); }
+    void startTasks(const OwnFront &);
+    void startTasks(const ExternalFront &);
+    Task<void> leave(OwnFront);
+    Task<void> leave(ExternalFront);
+    void start(Task<void> task) { asio::co_spawn(context, std::move(task), asio::detached); }
 
     Task<void> watchHealth();
     Task<void> tidy();
     Task<void> stopOnSignal();
+    Task<void> noteReloads();
 
-    asio::io_context context {1};
+    FrontChoice front;
     Kernel kernel;
+    asio::io_context &context;
     std::optional<Error> lastError;
 };
 
-Node::Parts::Parts(NodeSettings settings)
+Node::Parts::Parts(NodeSettings settings, FrontChoice chosen)
+    : front(std::move(chosen))
+    , context(kernel.add<asio::io_context>("io", 1))
 {
     kernel.add<Log>("log", settings.logLevel);
     NodeState &state = kernel.add<NodeState>("node");
@@ -70,37 +93,108 @@
     std::random_device seed;
     state.random.seed((static_cast<std::uint64_t>(seed()) << 32) | seed());
     state.start = fmt::format("{:08x}", static_cast<std::uint32_t>(state.random()));
-    const NodeSettings &own = state.settings;
+    addDecisions();
+    addTransport();
+    std::visit([&](const auto &kind) { addOwn(kind); }, front);
+    kernel.add<TargetService>("target", kernel, context);
+    kernel.add<CallPath>("call-path", kernel);
+    std::visit([&](const auto &kind) { addFront(kind); }, front);
+    kernel.add<PeerServer>("peer-server", kernel, context);
+    kernel.add<Front>("front", kernel, context);
+}
 
-    // Decisions.
+void Node::Parts::addDecisions()
+{
+    const NodeSettings &own = kernel.get<NodeState>("node").settings;
+    const ExternalFront *external = std::get_if<ExternalFront>(&front);
+    kernel.add<Dialect>("dialect", external ? external->dialect : ownDialect());
     kernel.add<PolicyStore>("policy");
     kernel.add<Membership>("membership", selfFrom(own));
     kernel.add<Router>("router", own.zone, own.otherZoneLatency);
     kernel.add<PathTable>("paths");
     kernel.add<Contact>("contact");
-    kernel.add<RetryPolicy>("retries");
+    kernel.add<RetryPolicy>("retries", external ? external->retries : RetryAllowance {});
     kernel.add<TargetAdmission>("admission");
     kernel.add<CallTable>("calls");
-    kernel.add<LeaseKeeper>("leases", own.node, state.start, own.leaseDuration);
-    kernel.add<TokenPurse>("purse");
-    kernel.add<KeyRegistry>("key-registry");
     kernel.add<EntryAdmission>("entry", kernel);
+}
 
-    // Transport.
+void Node::Parts::addTransport()
+{
     kernel.add<Metrics>("metrics");
     kernel.add<DecisionLog>("decisions", kernel);
     kernel.add<PeerLinks>("peer-links");
-    kernel.add<PlatformClient>("platform", own.platform);
     kernel.add<Gossip>("gossip", kernel, context);
+}
+
+/** Leases and idempotency keys, which the product's own front rests on. */
+void Node::Parts::addOwn(const OwnFront &)
+{
+    const NodeState &state = kernel.get<NodeState>("node");
+    const NodeSettings &own = state.settings;
+    kernel.add<LeaseKeeper>("leases", own.node, state.start, own.leaseDuration);
+    kernel.add<TokenPurse>("purse");
+    kernel.add<KeyRegistry>("key-registry");
+    kernel.add<PlatformClient>("platform", own.platform);
     kernel.add<LeaseService>("lease-service", kernel, context);
     kernel.add<RateService>("rates", kernel, context);
     kernel.add<KeyService>("keys", kernel, context);
     kernel.add<PlatformSync>("platform-sync", kernel);
-    kernel.add<TargetService>("target", kernel, context);
-    kernel.add<CallPath>("call-path", kernel);
+}
+
+void Node::Parts::addOwn(const ExternalFront &external)
+{
+    const NodeSettings &own = kernel.get<NodeState>("node").settings;
+    kernel.add<TargetGate>("target-gate", own.service);
+    kernel.add<QuotaShares>("quota-shares");
+    kernel.add<QuotaAccount>("quota-account");
+    kernel.add<ObjectStore>("object-store", external.store, own.platform, kernel.get<Log>("log"),
+                            kernel.get<Metrics>("metrics"));
+    kernel.add<StoreSync>("store-sync", kernel);
+    kernel.add<QuotaService>("quotas", kernel);
+}
+
+void Node::Parts::addFront(const OwnFront &)
+{
     kernel.add<StatusPage>("status", kernel);
-    kernel.add<PeerServer>("peer-server", kernel, context);
-    kernel.add<Front>("front", kernel, context);
+}
+
+void Node::Parts::addFront(const ExternalFront &external)
+{
+    kernel.add<TargetWatch>("target-watch", kernel);
+    external.addServices(kernel);
+}
+
+void Node::Parts::startTasks(const OwnFront &)
+{
+    start(watchHealth());
+    start(kernel.get<PlatformSync>("platform-sync").join());
+    start(kernel.get<PlatformSync>("platform-sync").watchPolicy());
+    start(kernel.get<LeaseService>("lease-service").keep());
+    start(kernel.get<RateService>("rates").keepStock());
+}
+
+void Node::Parts::startTasks(const ExternalFront &)
+{
+    StoreSync &sync = kernel.get<StoreSync>("store-sync");
+    start(sync.findNodes());
+    start(sync.followPolicy());
+    start(sync.followZones());
+    start(kernel.get<QuotaService>("quotas").tellDemand());
+    start(kernel.get<TargetWatch>("target-watch").follow());
+}
+
+/** Gives up what the node holds for others. */
+Task<void> Node::Parts::leave(OwnFront)
+{
+    auto releasing = kernel.get<LeaseService>("lease-service").release();
+    co_await std::move(releasing);
+}
+
+Task<void> Node::Parts::leave(ExternalFront)
+{
+    auto withdrawing = kernel.get<StoreSync>("store-sync").withdraw();
+    co_await withTimeout(std::move(withdrawing), withdrawLimit);
 }
 
 /** Follows what the backend server says of itself: only "draining" and silence are believed. */
@@ -135,27 +229,39 @@
     co_await signals.async_wait(asResult);
     NodeState &state = kernel.get<NodeState>("node");
     TargetService &target = kernel.get<TargetService>("target");
-    Front &front = kernel.get<Front>("front");
+    Front &callers = kernel.get<Front>("front");
     Log &log = kernel.get<Log>("log");
     log.write(steadyNow(), LogLevel::Info, "stop", {{"phase", "leaving"}});
     state.stopping = true;
     TimePoint begin = steadyNow();
     kernel.get<Gossip>("gossip").announce(MemberState::Leaving);
-    auto releasing = kernel.get<LeaseService>("lease-service").release();
-    co_await std::move(releasing);
+    callers.drain();
+    auto leaving = std::visit([&](const auto &kind) { return leave(kind); }, front);
+    co_await std::move(leaving);
     auto mayEnd = [&] { return steadyNow() - begin > state.settings.stopLimit; };
-    while ((target.inFlight() > 0 || steadyNow() - begin < noticeBeforeStop) && !mayEnd())
+    while (steadyNow() - begin < noticeBeforeStop)
         co_await sleepFor(stopCheckInterval);
-    front.stop();
-    while ((front.connections() > 0 || target.inFlight() > 0) && !mayEnd())
+    callers.stop();
+    while ((callers.connections() > 0 || target.inFlight() > 0) && !mayEnd())
         co_await sleepFor(stopCheckInterval);
     kernel.get<PeerServer>("peer-server").stop();
     log.write(steadyNow(), LogLevel::Info, "stop", {{"phase", "ended"}});
     context.stop();
 }
 
-Node::Node(NodeSettings settings)
-    : m_parts(std::make_unique<Parts>(std::move(settings)))
+/** A changed settings file takes effect at the next start; the node goes on with what it has. */
+Task<void> Node::Parts::noteReloads()
+{
+    asio::signal_set signals(context, SIGHUP);
+    for (;;) {
+        co_await signals.async_wait(asResult);
+        kernel.get<Log>("log").write(steadyNow(), LogLevel::Info, "reload",
+                                     {{"outcome", "kept until the next start"}});
+    }
+}
+
+Node::Node(NodeSettings settings, FrontChoice front)
+    : m_parts(std::make_unique<Parts>(std::move(settings), std::move(front)))
 {
 }
 
@@ -178,25 +284,31 @@
             m_parts->lastError = service.lastError();
         return listens;
     };
-    return listenOn(kernel.get<PeerServer>("peer-server"), peer)
+    bool listens = listenOn(kernel.get<PeerServer>("peer-server"), peer)
         && listenOn(kernel.get<Gossip>("gossip"), peer)
         && listenOn(kernel.get<Front>("front"), http);
+    if (!listens)
+        return false;
+    m_parts->lastError =
+        std::visit([&](const auto &kind) { return m_parts->listen(kind); }, m_parts->front);
+    return !m_parts->lastError;
 }
 
 void Node::run()
 {
-    asio::io_context &context = m_parts->context;
     Kernel &kernel = m_parts->kernel;
-    asio::co_spawn(context, m_parts->stopOnSignal(), asio::detached);
-    asio::co_spawn(context, m_parts->watchHealth(), asio::detached);
-    asio::co_spawn(context, m_parts->tidy(), asio::detached);
-    asio::co_spawn(context, kernel.get<PlatformSync>("platform-sync").join(), asio::detached);
-    asio::co_spawn(context, kernel.get<PlatformSync>("platform-sync").watchPolicy(),
-                   asio::detached);
-    asio::co_spawn(context, kernel.get<LeaseService>("lease-service").keep(), asio::detached);
-    asio::co_spawn(context, kernel.get<RateService>("rates").keepStock(), asio::detached);
-    asio::co_spawn(context, kernel.get<TargetService>("target").expireWaiting(), asio::detached);
-    context.run();
+    const NodeSettings &settings = kernel.get<NodeState>("node").settings;
+    kernel.get<Log>("log").write(steadyNow(), LogLevel::Info, "start",
+                                 {{"node", settings.node},
+                                  {"service", settings.service},
+                                  {"zone", settings.zone},
+                                  {"run", kernel.get<NodeState>("node").start}});
+    m_parts->start(m_parts->stopOnSignal());
+    m_parts->start(m_parts->noteReloads());
+    m_parts->start(m_parts->tidy());
+    m_parts->start(kernel.get<TargetService>("target").expireWaiting());
+    std::visit([&](const auto &kind) { m_parts->startTasks(kind); }, m_parts->front);
+    m_parts->context.run();
     kernel.get<Log>("log").close();
     std::_Exit(0);
 }
--- a/src/transport/peer_server.cpp
+++ b/src/transport/peer_server.cpp
@@ -1,5 +1,6 @@
 #include "peer_server.h"
 
+#include "gossip.h"
 #include "key_service.h"
 #include "peer_links.h"
 #include "target_service.h"
@@ -16,7 +17,8 @@
     , m_target(kernel.get<TargetService>("target"))
     , m_membership(kernel.get<Membership>("membership"))
     , m_policy(kernel.get<PolicyStore>("policy"))
-    , m_keys(kernel.get<KeyService>("keys"))
+    , m_gossip(kernel.get<Gossip>("gossip"))
+    , m_keys(kernel.find<KeyService>("keys"))
     , m_log(kernel.get<Log>("log"))
     , m_acceptor(context)
 {
@@ -73,14 +75,16 @@
     PeerMessage reply;
     if (CallMessage *call = std::get_if<CallMessage>(&message))
         co_return co_await serveCall(connection, std::move(*call));
-    if (std::holds_alternative<RosterRequest>(message))
+    if (const RosterRequest *roster = std::get_if<RosterRequest>(&message)) {
+        m_gossip.onMembers({roster->asking});
         reply = RosterAnswer {m_membership.roster()};
+    }
     else if (const PolicyPull *pull = std::get_if<PolicyPull>(&message))
-        reply = m_policy.answerPull(pull->haveVersion);
-    else if (const KeyClaim *claim = std::get_if<KeyClaim>(&message))
-        reply = m_keys.claimHere(*claim);
-    else if (const KeySettled *settled = std::get_if<KeySettled>(&message))
-        reply = m_keys.settleHere(*settled);
+        reply = m_policy.answerPull(*pull);
+    else if (const KeyClaim *claim = std::get_if<KeyClaim>(&message); claim && m_keys)
+        reply = m_keys->claimHere(*claim);
+    else if (const KeySettled *settled = std::get_if<KeySettled>(&message); settled && m_keys)
+        reply = m_keys->settleHere(*settled);
     else
         co_return false; // an answer that nobody asked for
     co_return co_await connection.send(reply, silenceLimit);
--- a/src/transport/peer_server.h
+++ b/src/transport/peer_server.h
@@ -10,6 +10,7 @@
 
 namespace ibiswell {
 
+class Gossip;
 class KeyService;
 class Membership;
 class PolicyStore;
@@ -19,7 +20,7 @@
 class PeerServer
 {
 public:
-    /** Looks up "target", "membership", "policy", "keys" and "log". */
+    /** Looks up "target", "membership", "policy", "gossip", "log" and, where it is, "keys". */
     PeerServer(Kernel &kernel, asio::io_context &context);
 
     bool listen(const Endpoint &endpoint);
@@ -37,7 +38,8 @@
     TargetService &m_target;
     Membership &m_membership;
     PolicyStore &m_policy;
-    KeyService &m_keys;
+    Gossip &m_gossip;
+    KeyService *m_keys; ///< Null where callers have no idempotency keys.
     Log &m_log;
     tcp::acceptor m_acceptor;
     std::optional<Error> m_lastError;
--- a/src/transport/settings.cpp
+++ b/src/transport/settings.cpp
@@ -2,9 +2,11 @@
 
 #include "ibiswell/policy/object_reader.h"
 
+#include <boost/json/serialize.hpp>
 #include <fmt/format.h>
 
 #include <cerrno>
+#include <charconv>
 #include <cstring>
 #include <fstream>
 #include <sstream>
@@ -18,6 +20,13 @@
 void readEndpoint(const boost::json::value &value, const std::string &path, FaultList &faults,
                   Endpoint &endpoint)
 {
+    if (value.is_string()) {
+        std::optional<Endpoint> parsed = parseEndpoint(value.as_string());
+        if (!parsed)
+            faults.add(path, "must be \"IP:PORT\" or {\"address\", \"port\"}");
+        endpoint = parsed.value_or(Endpoint {});
+        return;
+    }
     int port = 0;
     ObjectReader reader(value, path, faults);
     reader.requiredText("address", endpoint.address);
@@ -52,6 +61,22 @@
     }
 }
 
+/** The callers' address: a port of the node's address, or both in one text. */
+void readCallersPort(ObjectReader &reader, FaultList &faults, NodeSettings &settings)
+{
+    std::string text;
+    reader.text("http", text);
+    reader.integer("http_port", portRange, settings.httpPort);
+    if (!text.empty()) {
+        std::optional<Endpoint> endpoint = parseEndpoint(text);
+        if (!endpoint || endpoint->address != settings.address)
+            faults.add("http", "must be \"IP:PORT\" with the IP number of \"address\"");
+        settings.httpPort = endpoint ? endpoint->port : 0;
+    }
+    if (settings.httpPort == 0)
+        faults.add("http_port", "is required");
+}
+
 LogLevel logLevelFrom(std::string_view name)
 {
     if (name == "debug")
@@ -63,6 +88,18 @@
 
 } // namespace
 
+std::optional<Endpoint> parseEndpoint(std::string_view text)
+{
+    std::size_t colon = text.rfind(':');
+    int port = 0;
+    if (colon == std::string_view::npos || colon == 0)
+        return std::nullopt;
+    auto [end, ec] = std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+    if (ec != std::errc {} || end != text.data() + text.size() || port < 1 || port > 65535)
+        return std::nullopt;
+    return Endpoint {std::string(text.substr(0, colon)), static_cast<std::uint16_t>(port)};
+}
+
 std::optional<NodeSettings> parseNodeSettings(std::string_view text, Error &error)
 {
     auto value = parseJson(text, ErrorKind::InvalidSetting, error);
@@ -75,10 +112,8 @@
     reader.requiredText("service", settings.service);
     reader.requiredText("zone", settings.zone);
     reader.text("address", settings.address);
-    reader.integer("http_port", portRange, settings.httpPort);
+    readCallersPort(reader, faults, settings);
     reader.integer("peer_port", portRange, settings.peerPort);
-    if (settings.httpPort == 0)
-        faults.add("http_port", "is required");
     if (settings.peerPort == 0)
         faults.add("peer_port", "is required");
     readRequiredEndpoint(reader, "backend", faults, settings.backend);
@@ -97,6 +132,8 @@
     std::string level = "info";
     reader.choice("log_level", {"debug", "info", "warning", "error"}, level);
     settings.logLevel = logLevelFrom(level);
+    if (const boost::json::value *front = reader.child("front"))
+        settings.front = boost::json::serialize(*front);
     reader.finish();
     if (!faults.isEmpty()) {
         error = {ErrorKind::InvalidSetting, faults.text()};
--- /dev/null
+++ b/src/transport/store_sync.cpp
@@ -0,0 +1,212 @@
+#include "store_sync.h"
+
+#include "ibiswell/policy/object_reader.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+
+namespace ibiswell {
+
+namespace json = boost::json;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::string_view nodesKind = "ibiswell-nodes";
+/** A waiting call is priced once; a connection that goes silent is noticed by its probes. */
+constexpr Duration watchWait = 20s;
+/** Nodes that start together see only those that wrote before them; a second look finds all. */
+constexpr Duration secondLookAfter = 1s;
+/** Islands of nodes that a partition left find each other by the list. */
+constexpr Duration lookInterval = 12s;
+constexpr std::size_t mostContacts = 12; // asked for their roster in one look
+
+json::value describe(const Member &member)
+{
+    return json::object {{"address", member.endpoint.address},
+                         {"port", member.endpoint.port},
+                         {"service", member.service},
+                         {"zone", member.zone}};
+}
+
+/** The address of a node's object; nothing when another writer left something else there. */
+std::optional<Endpoint> endpointFrom(const StoredObject &object)
+{
+    FaultList faults;
+    Endpoint endpoint;
+    std::string ignored;
+    int port = 0;
+    ObjectReader reader(object.value, object.name, faults);
+    reader.requiredText("address", endpoint.address);
+    reader.integer("port", {1, 65535}, port);
+    endpoint.port = static_cast<std::uint16_t>(port);
+    if (!faults.isEmpty() || port == 0)
+        return std::nullopt;
+    return endpoint;
+}
+
+} // namespace
+
+StoreSync::StoreSync(Kernel &kernel)
+    : m_node(kernel.get<NodeState>("node"))
+    , m_policy(kernel.get<PolicyStore>("policy"))
+    , m_membership(kernel.get<Membership>("membership"))
+    , m_contact(kernel.get<Contact>("contact"))
+    , m_store(kernel.get<ObjectStore>("object-store"))
+    , m_gossip(kernel.get<Gossip>("gossip"))
+    , m_log(kernel.get<Log>("log"))
+{
+}
+
+Task<void> StoreSync::followPolicy()
+{
+    return follow(m_store.format().policyKind, &StoreSync::applyPolicy);
+}
+
+Task<void> StoreSync::followZones()
+{
+    return follow(m_store.format().zonesOutKind, &StoreSync::applyZones);
+}
+
+Task<void> StoreSync::follow(std::string kind, Apply apply)
+{
+    StoreBackoff backoff;
+    std::uint64_t revision = 0; // 0: the objects must be listed first
+    for (;;) {
+        StoreReply reply;
+        if (revision == 0)
+            reply = co_await m_store.list(kind, Freshness::Current);
+        else
+            reply = co_await m_store.watch(kind, revision, watchWait);
+        if (std::holds_alternative<Error>(reply)) {
+            co_await sleepFor(backoff.onFailure(m_node.random));
+            continue;
+        }
+        backoff.onSuccess();
+        m_contact.onPlatformHeard(steadyNow());
+        if (const StoreListing *listing = std::get_if<StoreListing>(&reply)) {
+            revision = listing->revision;
+            (this->*apply)(listing->objects, true, revision);
+        } else if (const StoreChanges *changes = std::get_if<StoreChanges>(&reply)) {
+            revision = changes->revision;
+            (this->*apply)(changes->objects, false, revision);
+        } else {
+            revision = 0;
+        }
+    }
+}
+
+void StoreSync::applyPolicy(const std::vector<StoredObject> &objects, bool, std::uint64_t revision)
+{
+    for (const StoredObject &object : objects) {
+        if (object.name != m_store.format().policyName || object.removed)
+            continue;
+        Error error;
+        std::optional<PolicyDocument> document = m_store.format().policy(object.value, error);
+        std::uint64_t version = document ? document->version : 0;
+        if (version > 0 && version <= m_policy.version())
+            continue; // other nodes told of it before
+        if (document && m_policy.adopt(std::move(*document)))
+            m_gossip.onPolicyAdopted();
+        else
+            m_log.write(steadyNow(), LogLevel::Error, "policy-rejected",
+                        {{"revision", fmt::to_string(revision)},
+                         {"detail", document ? m_policy.lastError()->detail : error.detail}});
+    }
+}
+
+void StoreSync::applyZones(const std::vector<StoredObject> &objects, bool isWhole,
+                           std::uint64_t revision)
+{
+    const ZonesOut &before = m_policy.zonesOut();
+    std::set<std::string> zones;
+    if (!isWhole)
+        zones.insert(before.zones.begin(), before.zones.end());
+    for (const StoredObject &object : objects) {
+        if (object.removed)
+            zones.erase(object.name);
+        else
+            zones.insert(object.name);
+    }
+    ZonesOut now {revision, {zones.begin(), zones.end()}};
+    if (before.revision != 0 && now.zones == before.zones)
+        return;
+    if (m_policy.adoptZones(now))
+        m_gossip.onZonesAdopted();
+}
+
+Task<bool> StoreSync::announceSelf()
+{
+    std::string kind {nodesKind};
+    json::value self = describe(m_membership.self());
+    StoreReply reply = co_await m_store.create(kind, m_node.settings.node, self);
+    // It may be of an earlier start, or of this one's call whose answer was lost.
+    if (std::holds_alternative<StoreConflict>(reply))
+        reply = co_await m_store.replace(kind, m_node.settings.node, self);
+    co_return std::holds_alternative<StoreWritten>(reply);
+}
+
+Task<bool> StoreSync::joinListed(Freshness freshness)
+{
+    std::string kind {nodesKind};
+    StoreReply reply = co_await m_store.list(kind, freshness);
+    StoreListing *listing = std::get_if<StoreListing>(&reply);
+    if (!listing)
+        co_return false;
+    std::shuffle(listing->objects.begin(), listing->objects.end(), m_node.random);
+    auto executor = co_await asio::this_coro::executor;
+    std::size_t asked = 0;
+    for (const StoredObject &object : listing->objects) {
+        std::optional<Endpoint> endpoint = endpointFrom(object);
+        if (!endpoint)
+            m_log.write(steadyNow(), LogLevel::Warning, "node-object-unreadable",
+                        {{"object", object.name}});
+        const Member *known = m_membership.find(object.name);
+        bool isKnown = known && known->endpoint == endpoint.value_or(Endpoint {});
+        if (!endpoint || isKnown || ++asked > mostContacts)
+            continue;
+        asio::co_spawn(executor, join(*endpoint), asio::detached);
+    }
+    m_node.joined = true;
+    co_return true;
+}
+
+Task<void> StoreSync::join(Endpoint contact)
+{
+    bool joined = co_await m_gossip.joinBy(contact);
+    if (!joined)
+        m_log.write(steadyNow(), LogLevel::Info, "contact-silent",
+                    {{"contact", toString(contact)}});
+}
+
+Task<void> StoreSync::findNodes()
+{
+    StoreBackoff backoff;
+    bool announced = false;
+    bool listed = false;
+    while (!announced || !listed) {
+        if (!announced)
+            announced = co_await announceSelf();
+        if (!listed)
+            listed = co_await joinListed(Freshness::Current);
+        if (!announced || !listed)
+            co_await sleepFor(backoff.onFailure(m_node.random));
+    }
+    co_await sleepFor(secondLookAfter);
+    for (;;) {
+        co_await joinListed(Freshness::MayBeStale);
+        co_await sleepFor(lookInterval);
+    }
+}
+
+Task<bool> StoreSync::withdraw()
+{
+    std::string kind {nodesKind};
+    StoreReply reply = co_await m_store.remove(kind, m_node.settings.node);
+    co_return std::holds_alternative<StoreWritten>(reply);
+}
+
+} // namespace ibiswell
--- a/src/transport/target_service.cpp
+++ b/src/transport/target_service.cpp
@@ -14,6 +14,7 @@
 constexpr Duration healthLimit = 1s;
 constexpr int statusUnavailable = 503;
 constexpr int statusTooMany = 429;
+constexpr int statusMisdirected = 421;
 
 Refusal notRun(ErrorKind kind, std::string detail)
 {
@@ -25,11 +26,22 @@
     return {pathBelow(call.route), call.context.team, call.context.priority};
 }
 
+HttpClientOptions optionsFor(const Dialect &dialect)
+{
+    HttpClientOptions options;
+    options.echoedField = dialect.answersEchoId ? dialect.names.requestId : "";
+    options.keepHost = std::holds_alternative<HostAndPrefix>(dialect.routeNaming);
+    options.unframedAnswers = options.keepHost;
+    return options;
+}
+
 WorkOutcome outcomeOf(const CallResult &result)
 {
     const HttpAnswer *answer = std::get_if<HttpAnswer>(&result);
-    if (!answer)
-        return WorkOutcome::Failed;
+    if (!answer) {
+        bool shed = std::get<Refusal>(result).kind == ErrorKind::BackendShed;
+        return shed ? WorkOutcome::Shed : WorkOutcome::Failed;
+    }
     bool shed = answer->status == statusUnavailable || answer->status == statusTooMany;
     return shed ? WorkOutcome::Shed : WorkOutcome::Completed;
 }
@@ -101,12 +113,14 @@
 TargetService::TargetService(Kernel &kernel, asio::io_context &context)
     : m_context(context)
     , m_node(kernel.get<NodeState>("node"))
+    , m_dialect(kernel.get<Dialect>("dialect"))
     , m_policy(kernel.get<PolicyStore>("policy"))
     , m_admission(kernel.get<TargetAdmission>("admission"))
     , m_paths(kernel.get<PathTable>("paths"))
     , m_calls(kernel.get<CallTable>("calls"))
+    , m_gate(kernel.find<TargetGate>("target-gate"))
     , m_decisions(kernel.get<DecisionLog>("decisions"))
-    , m_backend(m_node.settings.backend)
+    , m_backend(m_node.settings.backend, optionsFor(m_dialect))
 {
 }
 
@@ -121,7 +135,9 @@
         return notRun(ErrorKind::NodeStopping, "the node stops");
     if (m_node.backendLeaving)
         return notRun(ErrorKind::TargetLeaving, "the backend server takes no new work");
-    if (m_policy.policy().isZoneOut(m_node.settings.zone))
+    if (m_gate && !m_gate->isOpen())
+        return m_gate->refusal();
+    if (m_policy.isZoneOut(m_node.settings.zone))
         return notRun(ErrorKind::ZoneOut,
                       fmt::format("zone \"{}\" is out of service", m_node.settings.zone));
     return std::nullopt;
@@ -173,6 +189,8 @@
     m_waiters.erase(ticket);
     if (const RefuseCall *refused = std::get_if<RefuseCall>(&verdict))
         co_return notRun(refused->kind, "refused while it waited for a slot");
+    if (m_gate && !m_gate->isOpen())
+        co_return m_gate->refusal();
     co_return std::nullopt;
 }
 
@@ -183,7 +201,8 @@
     slot.started(token);
     HttpRequest request = backendRequest(call, token);
     auto exchanging = m_backend.exchange(std::move(request), call.context.timeLeft);
-    CallResult result = co_await std::move(exchanging);
+    CallResult told = co_await std::move(exchanging);
+    CallResult result = interpret(std::move(told));
     ended = slot.endCall();
     if (ended.callsBelow > 0)
         m_paths.onAnswer(steadyNow(), keyBelow(call), ended.pathFraction);
@@ -191,24 +210,55 @@
     WorkOutcome outcome = outcomeOf(result);
     slot.finish({outcome, slotTime, ended.waitedBelow,
                  ended.callsBelow > 0 && outcome == WorkOutcome::Shed});
+    bool toldByStatus = std::holds_alternative<HttpAnswer>(result) && m_dialect.names.notExecuted.empty();
     bool ownShedding = outcome == WorkOutcome::Shed && ended.callsBelow == 0;
-    if (ownShedding)
+    if (ownShedding && toldByStatus)
         result = Refusal {ErrorKind::BackendShed, "the backend server shed the request",
                           Execution::Unknown};
     co_return result;
 }
 
+CallResult TargetService::interpret(CallResult result)
+{
+    const HeaderNames &names = m_dialect.names;
+    if (const Refusal *refusal = std::get_if<Refusal>(&result)) {
+        if (m_gate && refusal->kind == ErrorKind::ConnectFailed)
+            m_gate->onUnreachable();
+        return result;
+    }
+    const HttpAnswer &answer = std::get<HttpAnswer>(result);
+    if (!names.expectedInstance.empty() && answer.status == statusMisdirected) {
+        m_gate->onUnreachable();
+        return notRun(ErrorKind::TargetReplaced, "another instance has the address");
+    }
+    if (!names.notExecuted.empty() && answer.hasHeader(names.notExecuted))
+        return notRun(ErrorKind::BackendShed,
+                      fmt::format("the backend server did not run it: {}", answer.status));
+    bool success = answer.status >= 200 && answer.status < 300;
+    if (success && !names.signature.empty() && !answer.hasHeader(names.signature))
+        return Refusal {ErrorKind::AnswerTruncated, "the answer is not signed", Execution::Unknown};
+    return result;
+}
+
 HttpRequest TargetService::backendRequest(CallMessage &call, const std::string &token) const
 {
     HttpRequest request = std::move(call.request);
     const CallContext &context = call.context;
-    request.removeHeader(headers::requestId);
+    const HeaderNames &names = m_dialect.names;
     auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(context.timeLeft);
-    request.headers.push_back({std::string(headers::requestId), context.requestId});
-    request.headers.push_back({std::string(headers::call), token});
-    request.headers.push_back({std::string(headers::team), context.team});
-    request.headers.push_back(
-        {std::string(headers::deadline), fmt::to_string(milliseconds.count())});
+    auto set = [&](const std::string &name, std::string value) {
+        if (name.empty())
+            return;
+        request.removeHeader(name);
+        if (!value.empty())
+            request.headers.push_back({name, std::move(value)});
+    };
+    set(names.requestId, context.requestId);
+    set(names.callToken, token);
+    set(names.team, context.team);
+    set(names.callerService, context.callerService);
+    set(names.expectedInstance, m_gate ? m_gate->instance() : "");
+    set(names.deadline, fmt::to_string(std::max<std::int64_t>(1, milliseconds.count())));
     return request;
 }
 
--- a/src/transport/target_service.h
+++ b/src/transport/target_service.h
@@ -4,10 +4,12 @@
 #include "http_client.h"
 #include "node_state.h"
 
+#include "ibiswell/core/dialect.h"
 #include "ibiswell/decisions/call_table.h"
 #include "ibiswell/decisions/path_table.h"
 #include "ibiswell/decisions/policy_store.h"
 #include "ibiswell/decisions/target_admission.h"
+#include "ibiswell/decisions/target_gate.h"
 #include "ibiswell/kernel/kernel.h"
 #include "ibiswell/transport/decision_log.h"
 
@@ -19,7 +21,10 @@
 class TargetService
 {
 public:
-    /** Looks up "node", "policy", "admission", "paths", "calls" and "decisions". */
+    /**
+     * Looks up "node", "dialect", "policy", "admission", "paths", "calls", "decisions" and, where
+     * backend servers report of themselves, "target-gate".
+     */
     TargetService(Kernel &kernel, asio::io_context &context);
 
     /** Runs one call to its end. When cancelled, the work at the backend server is cancelled. */
@@ -33,6 +38,11 @@
 
     int inFlight() const { return m_admission.inFlight(); }
 
+    /** Carries out what the admission decided outside of run(). */
+    void apply(const std::vector<AdmissionEffect> &effects);
+    /** Connections opened to the backend server so far. */
+    std::uint64_t connects() const { return m_backend.connects(); }
+
 private:
     struct Waiter
     {
@@ -47,14 +57,17 @@
     HttpRequest backendRequest(CallMessage &call, const std::string &token) const;
     AnswerMessage answer(const CallMessage &call, CallResult result,
                          const CallTable::Ended &ended) const;
-    void apply(const std::vector<AdmissionEffect> &effects);
+    /** What the backend server's answer means, in the words of the dialect. */
+    CallResult interpret(CallResult result);
 
     asio::io_context &m_context;
     NodeState &m_node;
+    const Dialect &m_dialect;
     PolicyStore &m_policy;
     TargetAdmission &m_admission;
     PathTable &m_paths;
     CallTable &m_calls;
+    TargetGate *m_gate; ///< Null where backend servers do not report of themselves.
     DecisionLog &m_decisions;
     HttpClient m_backend;
     std::unordered_map<Ticket, Waiter> m_waiters;
--- /dev/null
+++ b/src/transport/target_watch.cpp
@@ -0,0 +1,97 @@
+#include "target_watch.h"
+
+#include <fmt/format.h>
+
+namespace ibiswell {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration followInterval = 50ms;
+
+std::string_view nameOf(ReportOutcome outcome)
+{
+    switch (outcome) {
+    case ReportOutcome::Stale:
+        return "stale";
+    case ReportOutcome::OtherService:
+        return "other-service";
+    case ReportOutcome::Refreshed:
+        return "refreshed";
+    case ReportOutcome::Opened:
+        return "opened";
+    case ReportOutcome::Closed:
+        return "closed";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+TargetWatch::TargetWatch(Kernel &kernel)
+    : m_node(kernel.get<NodeState>("node"))
+    , m_policy(kernel.get<PolicyStore>("policy"))
+    , m_admission(kernel.get<TargetAdmission>("admission"))
+    , m_target(kernel.get<TargetService>("target"))
+    , m_gate(kernel.get<TargetGate>("target-gate"))
+    , m_gossip(kernel.get<Gossip>("gossip"))
+    , m_log(kernel.get<Log>("log"))
+{
+}
+
+ReportOutcome TargetWatch::onReport(const TargetReport &report)
+{
+    ReportOutcome outcome = m_gate.onReport(steadyNow(), report);
+    carryOut();
+    if (outcome != ReportOutcome::Refreshed)
+        m_log.write(steadyNow(), LogLevel::Info, "target",
+                    {{"instance", report.instance},
+                     {"service", report.service},
+                     {"sequence", fmt::to_string(report.sequence)},
+                     {"started_at_ms", fmt::to_string(report.startedAtMs)},
+                     {"draining", report.draining ? "yes" : "no"},
+                     {"warmup_s", fmt::format("{:.1f}", inSeconds(report.warmupLeft))},
+                     {"outcome", std::string(nameOf(outcome))}});
+    return outcome;
+}
+
+void TargetWatch::onDeparture(const std::string &instance)
+{
+    bool closed = m_gate.onDeparture(instance);
+    carryOut();
+    m_log.write(steadyNow(), LogLevel::Info, "target",
+                {{"instance", instance}, {"outcome", closed ? "left" : "other-instance"}});
+}
+
+bool TargetWatch::takesWork() const
+{
+    return m_gate.isOpen() && !m_policy.isZoneOut(m_node.settings.zone);
+}
+
+void TargetWatch::carryOut()
+{
+    bool zoneIsOut = m_policy.isZoneOut(m_node.settings.zone);
+    if (m_zoneWasOut && !zoneIsOut)
+        m_gate.onZoneReturned();
+    m_zoneWasOut = zoneIsOut;
+    const auto &services = m_policy.policy().services;
+    auto service = services.find(m_node.settings.service);
+    bool paced = service != services.end() && m_gate.isCold(steadyNow());
+    m_admission.setColdPace(paced ? service->second.coldStartsPerSecond : 0);
+    m_admission.setSlots(m_gate.slots());
+    if (!takesWork())
+        m_target.apply(m_admission.refuseWaiting(ErrorKind::TargetLeaving));
+    if (!m_node.stopping)
+        m_gossip.announce(takesWork() ? MemberState::Alive : MemberState::Leaving);
+}
+
+Task<void> TargetWatch::follow()
+{
+    for (;;) {
+        carryOut();
+        co_await sleepFor(followInterval);
+    }
+}
+
+} // namespace ibiswell
--- /dev/null
+++ b/src/transport/target_watch.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "asio.h"
+#include "gossip.h"
+#include "node_state.h"
+#include "target_service.h"
+
+#include "ibiswell/decisions/policy_store.h"
+#include "ibiswell/decisions/target_admission.h"
+#include "ibiswell/decisions/target_gate.h"
+#include "ibiswell/kernel/kernel.h"
+#include "ibiswell/transport/log.h"
+
+namespace ibiswell {
+
+/**
+ * Follows what the local backend server says of itself, and carries out what the gate decides: the
+ * admission's slots and pace, the refusal of waiting calls, and the announcement to other nodes.
+ */
+class TargetWatch
+{
+public:
+    /** Looks up "node", "policy", "admission", "target", "target-gate", "gossip" and "log". */
+    explicit TargetWatch(Kernel &kernel);
+
+    /** Takes a report. When it returns, the gate is as the report says. */
+    ReportOutcome onReport(const TargetReport &report);
+    /** The backend server leaves for good. When it returns, no further call is started there. */
+    void onDeparture(const std::string &instance);
+
+    /** Keeps pace and announcement up to date; runs until the node stops. */
+    Task<void> follow();
+
+private:
+    void carryOut();
+    bool takesWork() const;
+
+    NodeState &m_node;
+    PolicyStore &m_policy;
+    TargetAdmission &m_admission;
+    TargetService &m_target;
+    TargetGate &m_gate;
+    Gossip &m_gossip;
+    Log &m_log;
+    bool m_zoneWasOut = false;
+};
+
+} // namespace ibiswell
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -4,6 +4,7 @@
 #include <cereal/types/optional.hpp>
 #include <cereal/types/variant.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <sstream>
 #include <streambuf>
@@ -112,13 +113,13 @@
 
 template<class A> void serialize(A &a, Refusal &m)
 {
-    a(m.kind, m.detail, m.execution);
+    a(m.kind, m.detail, m.execution, m.retryAfter);
 }
 
 template<class A> void serialize(A &a, CallContext &m)
 {
     a(m.requestId, m.team, m.priority, m.admissionDraw, m.admittedFraction, m.timeLeft, m.depth,
-      m.attempt, m.retriesLeft);
+      m.attempt, m.retriesLeft, m.callerService);
 }
 
 template<class A> void serialize(A &a, LoadReport &m)
@@ -141,7 +142,10 @@
     a(m.callId);
 }
 
-template<class A> void serialize(A &, RosterRequest &) { }
+template<class A> void serialize(A &a, RosterRequest &m)
+{
+    a(m.asking);
+}
 
 template<class A> void serialize(A &a, RosterAnswer &m)
 {
@@ -150,7 +154,7 @@
 
 template<class A> void serialize(A &a, PolicyPull &m)
 {
-    a(m.haveVersion);
+    a(m.haveVersion, m.haveZonesRevision);
 }
 
 template<class A> void serialize(A &a, PolicyEdit &m)
@@ -181,9 +185,14 @@
         m.entries[entry.name] = std::move(entry.value);
 }
 
+template<class A> void serialize(A &a, ZonesOut &m)
+{
+    a(m.revision, m.zones);
+}
+
 template<class A> void serialize(A &a, PolicyAnswer &m)
 {
-    a(m.news);
+    a(m.news, m.zones);
 }
 
 template<class A> void serialize(A &a, KeyClaim &m)
@@ -249,9 +258,29 @@
     a(m.sequence, m.share, m.granted, m.validFor);
 }
 
+template<class A> void serialize(A &a, TeamDemand &m)
+{
+    a(m.team, m.ratePerSecond);
+}
+
+template<class A> void serialize(A &a, DemandReport &m)
+{
+    a(m.demands);
+}
+
+template<class A> void serialize(A &a, TeamShare &m)
+{
+    a(m.team, m.share);
+}
+
+template<class A> void serialize(A &a, ShareGrant &m)
+{
+    a(m.shares);
+}
+
 template<class A> void serialize(A &a, Datagram &m)
 {
-    a(m.sender, m.senderEndpoint, m.policyVersion, m.updates, m.body);
+    a(m.sender, m.senderEndpoint, m.policyVersion, m.zonesRevision, m.updates, m.body);
 }
 
 namespace {
@@ -324,9 +353,21 @@
         return !refusal || (*this)(*refusal);
     }
     bool operator()(const KeySettled &m) const { return (*this)(m.result); }
+    bool operator()(const RosterRequest &m) const { return members({m.asking}); }
     bool operator()(const RosterAnswer &m) const { return members(m.members); }
     bool operator()(const TokenAsk &m) const { return amounts(m.wanted); }
     bool operator()(const TokenGrant &m) const { return amounts(m.granted); }
+    bool operator()(const DemandReport &m) const
+    {
+        return std::all_of(m.demands.begin(), m.demands.end(), [](const TeamDemand &demand) {
+            return demand.ratePerSecond >= 0 && demand.ratePerSecond <= 1e9;
+        });
+    }
+    bool operator()(const ShareGrant &m) const
+    {
+        return std::all_of(m.shares.begin(), m.shares.end(),
+                           [&](const TeamShare &share) { return fraction(share.share); });
+    }
     template<class Other> bool operator()(const Other &) const { return true; }
 
     bool members(const std::vector<Member> &members) const
