Tell whether a target takes work apart from whether its node lives

Cause: a closed target was announced as a leaving node; at the start all nodes were leaving, so none was probed or told anything, and no target was ever found. Ruled out: the store's list (all joined) and the router.

--- a/include/ibiswell/core/member.h
+++ b/include/ibiswell/core/member.h
@@ -34,6 +34,8 @@
     MemberState state = MemberState::Alive;
     /** Numbers of the leases that the node holds (rate shares, key ranges). */
     std::vector<std::uint32_t> leases;
+    /** Whether the target beside the node takes new work; the node itself may live on without. */
+    bool takesWork = true;
 
     bool operator==(const Member &) const = default;
 };
--- a/include/ibiswell/decisions/membership.h
+++ b/include/ibiswell/decisions/membership.h
@@ -43,7 +43,9 @@
     /** Takes in a roster from another node or first contacts from the platform. */
     MembershipEffects onRoster(TimePoint now, const std::vector<Member> &members);
 
-    /** Announces whether this node takes work (Alive) or not (Leaving), at once to a few. */
+    /** Announces whether the target beside this node takes work, at once to a few. */
+    MembershipEffects announceWork(bool takesWork, Random &random);
+    /** Announces that this node itself leaves, at once to a few. */
     MembershipEffects announceState(MemberState state, Random &random);
     /** Announces the leases that this node holds. */
     MembershipEffects announceLeases(std::vector<std::uint32_t> leases, Random &random);
--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -332,6 +332,16 @@
     return spread(MemberNews {}, announceSpread, random);
 }
 
+MembershipEffects Membership::announceWork(bool takesWork, Random &random)
+{
+    if (takesWork == m_self.takesWork)
+        return {};
+    m_self.takesWork = takesWork;
+    ++m_self.incarnation;
+    enqueueNews(m_self);
+    return spread(MemberNews {}, announceSpread, random);
+}
+
 MembershipEffects Membership::announceLeases(std::vector<std::uint32_t> leases, Random &random)
 {
     if (leases == m_self.leases)
--- a/src/decisions/router.cpp
+++ b/src/decisions/router.cpp
@@ -42,7 +42,8 @@
 
 void Router::onMember(const Member &member)
 {
-    bool takesWork = member.state == MemberState::Alive || member.state == MemberState::Suspect;
+    bool lives = member.state == MemberState::Alive || member.state == MemberState::Suspect;
+    bool takesWork = lives && member.takesWork;
     Target *known = targetOf(member.node);
     if (!takesWork) {
         remove(member.node);
--- a/src/transport/gossip.cpp
+++ b/src/transport/gossip.cpp
@@ -81,6 +81,7 @@
             gossip.m_log.write(steadyNow(), LogLevel::Info, "member",
                                {{"node", member.node},
                                 {"state", std::string(toString(member.state))},
+                                {"takes_work", member.takesWork ? "yes" : "no"},
                                 {"service", member.service},
                                 {"zone", member.zone},
                                 {"incarnation", fmt::to_string(member.incarnation)}});
@@ -189,9 +190,17 @@
     apply(m_membership.spread(PolicyNews {}, policyNewsSpread, m_node.random));
 }
 
-void Gossip::announce(MemberState state)
+void Gossip::announceWork(bool takesWork)
 {
-    apply(m_membership.announceState(state, m_node.random));
+    if (takesWork == m_membership.self().takesWork)
+        return;
+    apply(m_membership.announceWork(takesWork, m_node.random));
+    m_router.onMember(m_membership.self());
+}
+
+void Gossip::announceLeaving()
+{
+    apply(m_membership.announceState(MemberState::Leaving, m_node.random));
     m_router.onMember(m_membership.self());
 }
 
--- a/src/transport/gossip.h
+++ b/src/transport/gossip.h
@@ -45,7 +45,9 @@
     /** Takes a policy that came from the platform or a peer; tells others when it is newer. */
     void onPolicyAdopted();
     /** Announces whether the target here takes work. */
-    void announce(MemberState state);
+    void announceWork(bool takesWork);
+    /** Announces that this node leaves. */
+    void announceLeaving();
     void announceLeases(std::vector<std::uint32_t> leases);
 
     const std::optional<Error> &lastError() const { return m_lastError; }
--- a/src/transport/node.cpp
+++ b/src/transport/node.cpp
@@ -209,7 +209,7 @@
         failures = ready ? 0 : failures + 1;
         state.backendLeaving = failures >= failuresBeforeLeaving;
         if (!state.stopping)
-            gossip.announce(state.backendLeaving ? MemberState::Leaving : MemberState::Alive);
+            gossip.announceWork(!state.backendLeaving);
         co_await sleepFor(healthInterval);
     }
 }
@@ -234,7 +234,7 @@
     log.write(steadyNow(), LogLevel::Info, "stop", {{"phase", "leaving"}});
     state.stopping = true;
     TimePoint begin = steadyNow();
-    kernel.get<Gossip>("gossip").announce(MemberState::Leaving);
+    kernel.get<Gossip>("gossip").announceLeaving();
     callers.drain();
     auto leaving = std::visit([&](const auto &kind) { return leave(kind); }, front);
     co_await std::move(leaving);
--- a/src/transport/target_watch.cpp
+++ b/src/transport/target_watch.cpp
@@ -83,7 +83,7 @@
     if (!takesWork())
         m_target.apply(m_admission.refuseWaiting(ErrorKind::TargetLeaving));
     if (!m_node.stopping)
-        m_gossip.announce(takesWork() ? MemberState::Alive : MemberState::Leaving);
+        m_gossip.announceWork(takesWork());
 }
 
 Task<void> TargetWatch::follow()
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -93,7 +93,8 @@
 
 template<class A> void serialize(A &a, Member &m)
 {
-    a(m.node, m.service, m.zone, m.endpoint, m.httpPort, m.incarnation, m.state, m.leases);
+    a(m.node, m.service, m.zone, m.endpoint, m.httpPort, m.incarnation, m.state, m.leases,
+      m.takesWork);
 }
 
 template<class A> void serialize(A &a, HeaderField &m)
