Mint a team's tokens at the node that ranks first, for the nodes it hears

Ruled out: deeper buckets at each node, whose sum would pass the bound for a hot team. Change: the tokens that the leases' holders mint, with a holder by rank in place of a lease, whose part of the rate is the nodes that ask it over the nodes known; a node alone keeps to its part.

--- a/benchmark/model/rate_model.cpp
+++ b/benchmark/model/rate_model.cpp
@@ -159,7 +159,7 @@
     void grant(std::size_t asker, std::size_t holder, const TokenAsk &ask)
     {
         const TeamPolicy &policy = m_policy.team(team);
-        int count = static_cast<int>(sharesOfTeam(team, policy, m_scenario.shares).size());
+        int count = static_cast<int>(sharesOfTeam(team, policy, m_policy.defaults).size());
         TokenGrant grant {ask.sequence, ask.share, {}, RateShare::grantLifetime};
         for (const TokenAmount &wanted : ask.wanted)
             grant.granted.push_back(
--- a/include/ibiswell/core/messages.h
+++ b/include/ibiswell/core/messages.h
@@ -233,34 +233,8 @@
     Duration validFor {}; ///< From when the ask was sent, by the asker's clock.
 };
 
-/** How many requests of a team enter at a node. */
-struct TeamDemand
-{
-    std::string team;
-    double ratePerSecond = 0;
-};
-
-/** Tells the node that accounts for these teams what enters at the sender. */
-struct DemandReport
-{
-    std::vector<TeamDemand> demands;
-};
-
-/** The part of a team's rate that a node may admit. */
-struct TeamShare
-{
-    std::string team;
-    double share = 0; ///< From 0 to 1.
-};
-
-/** Answer to a DemandReport. */
-struct ShareGrant
-{
-    std::vector<TeamShare> shares;
-};
-
-using GossipBody = std::variant<Probe, ProbeAck, ProbeRequest, PolicyNews, MemberNews, TokenAsk,
-                                TokenGrant, DemandReport, ShareGrant>;
+using GossipBody =
+    std::variant<Probe, ProbeAck, ProbeRequest, PolicyNews, MemberNews, TokenAsk, TokenGrant>;
 
 /** One datagram between nodes. */
 struct Datagram
--- a/include/ibiswell/decisions/rate_share.h
+++ b/include/ibiswell/decisions/rate_share.h
@@ -14,7 +14,7 @@
 
 /** The shares that mint a team's tokens; a team with a small burst uses fewer of them. */
 std::vector<std::uint32_t> sharesOfTeam(const std::string &team, const TeamPolicy &policy,
-                                        int rateShares);
+                                        const FleetDefaults &defaults);
 
 /**
  * One share of every team's rate, held under a lease. Only its holder mints its tokens.
--- a/include/ibiswell/policy/policy.h
+++ b/include/ibiswell/policy/policy.h
@@ -82,6 +82,7 @@
     int retriesPerCallTree = 2;
     int maximumDepth = 8;
     int rateShares = 4; ///< Parts into which each team's rate is divided; fixed for a fleet's life.
+    int sharesPerTeam = 4096; ///< At most; a team with one share has one bucket.
     int keyRanges = 4; ///< Ranges of idempotency keys, each with one owner; fixed likewise.
     TeamPolicy team;
 };
--- a/src/decisions/rate_share.cpp
+++ b/src/decisions/rate_share.cpp
@@ -16,10 +16,11 @@
 } // namespace
 
 std::vector<std::uint32_t> sharesOfTeam(const std::string &team, const TeamPolicy &policy,
-                                        int rateShares)
+                                        const FleetDefaults &defaults)
 {
-    int count = std::clamp(static_cast<int>(policy.burst / smallestBurstOfShare), 1, rateShares);
-    std::vector<std::uint32_t> shares(static_cast<std::size_t>(rateShares));
+    int most = std::min(defaults.rateShares, defaults.sharesPerTeam);
+    int count = std::clamp(static_cast<int>(policy.burst / smallestBurstOfShare), 1, most);
+    std::vector<std::uint32_t> shares(static_cast<std::size_t>(defaults.rateShares));
     std::iota(shares.begin(), shares.end(), 0u);
     std::sort(shares.begin(), shares.end(), [&](std::uint32_t a, std::uint32_t b) {
         return stableHash(team, a) < stableHash(team, b);
--- a/src/decisions/token_purse.cpp
+++ b/src/decisions/token_purse.cpp
@@ -109,7 +109,7 @@
     dropLapsed(now, team);
     std::vector<ReachableShare> reachable;
     std::size_t known = 0;
-    for (std::uint32_t share : sharesOfTeam(name, policy.team(name), policy.defaults.rateShares)) {
+    for (std::uint32_t share : sharesOfTeam(name, policy.team(name), policy.defaults)) {
         std::optional<int> far = distance(share);
         known += far ? 1 : 0;
         if (far && !team.asked.contains(share) && !team.emptyUntil.contains(share))
--- a/src/policy/policy_document.cpp
+++ b/src/policy/policy_document.cpp
@@ -113,6 +113,7 @@
         reader.integer("retries_per_call_tree", {0, 16}, defaults.retriesPerCallTree);
         reader.integer("maximum_depth", {1, 32}, defaults.maximumDepth);
         reader.integer("rate_shares", {1, 4096}, defaults.rateShares);
+        reader.integer("shares_per_team", {1, 4096}, defaults.sharesPerTeam);
         reader.integer("key_ranges", {1, 4096}, defaults.keyRanges);
         readTeamFields(reader, defaults.team);
         reader.finish();
--- a/src/transport/front.cpp
+++ b/src/transport/front.cpp
@@ -21,13 +21,6 @@
     return limits;
 }
 
-RateGuard rateGuard(Kernel &kernel)
-{
-    if (QuotaService *quotas = kernel.find<QuotaService>("quotas"))
-        return quotas;
-    return &kernel.get<RateService>("rates");
-}
-
 } // namespace
 
 Front::Front(Kernel &kernel, asio::io_context &context)
@@ -37,7 +30,7 @@
     , m_entry(kernel.get<EntryAdmission>("entry"))
     , m_calls(kernel.get<CallTable>("calls"))
     , m_path(kernel.get<CallPath>("call-path"))
-    , m_rates(rateGuard(kernel))
+    , m_rates(kernel.get<RateService>("rates"))
     , m_keys(kernel.find<KeyService>("keys"))
     , m_decisions(kernel.get<DecisionLog>("decisions"))
     , m_metrics(kernel.get<Metrics>("metrics"))
@@ -80,7 +73,7 @@
 {
     entered.context.callerService = m_node.settings.service;
     if (!entered.route.open) {
-        std::optional<Refusal> refusal = co_await passRate(entered.context.team);
+        std::optional<Refusal> refusal = co_await m_rates.pass(entered.context.team);
         if (refusal)
             co_return CallOutcome {std::move(*refusal)};
     }
@@ -97,24 +90,6 @@
     co_return outcome;
 }
 
-Task<std::optional<Refusal>> Front::passRate(const std::string &team)
-{
-    struct Pass
-    {
-        const std::string &team;
-        Task<std::optional<Refusal>> operator()(RateService *rates) const
-        {
-            co_return co_await rates->pass(team);
-        }
-        Task<std::optional<Refusal>> operator()(QuotaService *quotas) const
-        {
-            co_return quotas->pass(team);
-        }
-    } pass {team};
-    Task<std::optional<Refusal>> passing = std::visit(pass, m_rates);
-    co_return co_await std::move(passing);
-}
-
 Task<HttpAnswer> Front::handleBelow(HttpRequest request, std::string token)
 {
     TimePoint start = steadyNow();
--- a/src/transport/front.h
+++ b/src/transport/front.h
@@ -5,7 +5,6 @@
 #include "http_server.h"
 #include "key_service.h"
 #include "node_state.h"
-#include "quota_service.h"
 #include "rate_service.h"
 #include "status_page.h"
 
@@ -17,9 +16,6 @@
 
 namespace ibiswell {
 
-/** How requests are held to their team's rate over all VMs. */
-using RateGuard = std::variant<RateService *, QuotaService *>;
-
 /**
  * The HTTP front: takes requests from callers and from the local backend server, and the
  * operators' requests below "/-/".
@@ -29,7 +25,7 @@
 public:
     /**
      * Looks up "node", "dialect", "policy", "entry", "calls", "call-path", "decisions", "metrics",
-     * "quotas" or "rates" and, where they are, "keys" and "status".
+     * "rates" and, where they are, "keys" and "status".
      */
     Front(Kernel &kernel, asio::io_context &context);
 
@@ -45,7 +41,6 @@
     Task<HttpAnswer> handle(HttpRequest request);
     Task<HttpAnswer> handleCaller(HttpRequest request);
     Task<HttpAnswer> handleBelow(HttpRequest request, std::string token);
-    Task<std::optional<Refusal>> passRate(const std::string &team);
     Task<CallOutcome> runEntered(Entered entered);
     HttpAnswer finish(const std::string &requestId, const Entered *entered, TimePoint start,
                       CallResult result);
@@ -56,7 +51,7 @@
     EntryAdmission &m_entry;
     CallTable &m_calls;
     CallPath &m_path;
-    RateGuard m_rates;
+    RateService &m_rates;
     KeyService *m_keys; ///< Null where callers have no idempotency keys.
     DecisionLog &m_decisions;
     Metrics &m_metrics;
--- a/src/transport/gossip.h
+++ b/src/transport/gossip.h
@@ -21,7 +21,7 @@
 {
 public:
     /** Takes a datagram whose body is not the membership's own. */
-    using QuotaHandler = std::function<void(const Datagram &datagram)>;
+    using TokenHandler = std::function<void(const Datagram &datagram)>;
 
     /**
      * Looks up "node", "membership", "router", "contact", "policy", "peer-links", "log" and
@@ -30,7 +30,7 @@
     Gossip(Kernel &kernel, asio::io_context &context);
 
     bool listen(const Endpoint &endpoint);
-    void setTokenHandler(QuotaHandler handler) { m_tokenHandler = std::move(handler); }
+    void setTokenHandler(TokenHandler handler) { m_tokenHandler = std::move(handler); }
     void send(const SendDatagram &effect);
     void apply(const MembershipEffects &effects);
 
@@ -68,7 +68,7 @@
     Log &m_log;
     Metrics &m_metrics;
     udp::socket m_socket;
-    QuotaHandler m_tokenHandler;
+    TokenHandler m_tokenHandler;
     bool m_pulling = false;
     std::optional<Error> m_lastError;
 };
--- a/src/transport/node.cpp
+++ b/src/transport/node.cpp
@@ -8,7 +8,6 @@
 #include "object_store.h"
 #include "peer_server.h"
 #include "platform_sync.h"
-#include "quota_service.h"
 #include "rate_service.h"
 #include "status_page.h"
 #include "store_sync.h"
@@ -137,7 +136,8 @@
     kernel.add<KeyRegistry>("key-registry");
     kernel.add<PlatformClient>("platform", own.platform);
     kernel.add<LeaseService>("lease-service", kernel, context);
-    kernel.add<RateService>("rates", kernel, context);
+    kernel.add<RateService>("rates", kernel, context,
+                            LeasedShares {&kernel.get<LeaseKeeper>("leases")});
     kernel.add<KeyService>("keys", kernel, context);
     kernel.add<PlatformSync>("platform-sync", kernel);
 }
@@ -146,12 +146,11 @@
 {
     const NodeSettings &own = kernel.get<NodeState>("node").settings;
     kernel.add<TargetGate>("target-gate", own.service);
-    kernel.add<QuotaShares>("quota-shares");
-    kernel.add<QuotaAccount>("quota-account");
+    kernel.add<TokenPurse>("purse");
     kernel.add<ObjectStore>("object-store", external.store, own.platform, kernel.get<Log>("log"),
                             kernel.get<Metrics>("metrics"));
     kernel.add<StoreSync>("store-sync", kernel);
-    kernel.add<QuotaService>("quotas", kernel);
+    kernel.add<RateService>("rates", kernel, context, RankedShares {});
 }
 
 void Node::Parts::addFront(const OwnFront &)
@@ -171,7 +170,6 @@
     start(kernel.get<PlatformSync>("platform-sync").join());
     start(kernel.get<PlatformSync>("platform-sync").watchPolicy());
     start(kernel.get<LeaseService>("lease-service").keep());
-    start(kernel.get<RateService>("rates").keepStock());
 }
 
 void Node::Parts::startTasks(const ExternalFront &)
@@ -180,7 +178,6 @@
     start(sync.findNodes());
     start(sync.followPolicy());
     start(sync.followZones());
-    start(kernel.get<QuotaService>("quotas").tellDemand());
     start(kernel.get<TargetWatch>("target-watch").follow());
 }
 
@@ -307,6 +304,7 @@
     m_parts->start(m_parts->noteReloads());
     m_parts->start(m_parts->tidy());
     m_parts->start(kernel.get<TargetService>("target").expireWaiting());
+    m_parts->start(kernel.get<RateService>("rates").keepStock());
     std::visit([&](const auto &kind) { m_parts->startTasks(kind); }, m_parts->front);
     m_parts->context.run();
     kernel.get<Log>("log").close();
--- a/src/transport/rate_service.cpp
+++ b/src/transport/rate_service.cpp
@@ -9,7 +9,10 @@
 using namespace std::chrono_literals;
 
 constexpr Duration longestWaitForToken = 150ms;
-constexpr Duration stockInterval = 10ms;
+constexpr Duration recheckInterval = 10ms;
+constexpr Duration stockInterval = 20ms;
+constexpr Duration presenceInterval = 500ms;
+constexpr std::uint64_t presenceSequences = std::uint64_t {1} << 63;
 
 Refusal refusalFor(ErrorKind kind)
 {
@@ -21,12 +24,12 @@
 
 } // namespace
 
-RateService::RateService(Kernel &kernel, asio::io_context &context)
+RateService::RateService(Kernel &kernel, asio::io_context &context, ShareHolding holding)
     : m_context(context)
     , m_node(kernel.get<NodeState>("node"))
     , m_policy(kernel.get<PolicyStore>("policy"))
     , m_membership(kernel.get<Membership>("membership"))
-    , m_leases(kernel.get<LeaseKeeper>("leases"))
+    , m_holding(std::move(holding))
     , m_purse(kernel.get<TokenPurse>("purse"))
     , m_gossip(kernel.get<Gossip>("gossip"))
     , m_granted(context, std::chrono::steady_clock::time_point::max())
@@ -36,6 +39,8 @@
 
 Task<std::optional<Refusal>> RateService::pass(std::string team)
 {
+    if (m_policy.policy().team(team).unlimited)
+        co_return std::nullopt;
     TokenVerdict verdict = m_purse.spend(steadyNow(), team);
     TimePoint until = steadyNow() + longestWaitForToken;
     bool waits = std::holds_alternative<TokenPending>(verdict);
@@ -53,15 +58,29 @@
     while (std::holds_alternative<TokenPending>(verdict) && steadyNow() < until) {
         sendAsks();
         auto woken = m_granted.async_wait(asResult);
-        co_await withTimeout(std::move(woken), stockInterval);
+        co_await withTimeout(std::move(woken), recheckInterval);
         verdict = m_purse.spendWaiting(steadyNow(), team);
         guard.waits = std::holds_alternative<TokenPending>(verdict);
     }
     if (std::holds_alternative<TokenSpent>(verdict))
         co_return std::nullopt;
-    if (const TokenRefused *refused = std::get_if<TokenRefused>(&verdict))
+    const TokenRefused *refused = std::get_if<TokenRefused>(&verdict);
+    if (refused && refused->kind == ErrorKind::RateExceeded)
         co_return refusalFor(refused->kind);
-    co_return refusalFor(ErrorKind::RateUnconfirmed);
+    co_return passAlone(team, refusalFor(ErrorKind::RateUnconfirmed));
+}
+
+std::optional<Refusal> RateService::passAlone(const std::string &team, Refusal refusal)
+{
+    RankedShares *ranked = std::get_if<RankedShares>(&m_holding);
+    if (!ranked)
+        return refusal;
+    TimePoint now = steadyNow();
+    const TeamPolicy &policy = m_policy.policy().team(team);
+    double part = ranked->holders.partAlone(now, m_membership.present().size());
+    bool spent =
+        ranked->alone.spend(now, team, policy.ratePerSecond * part, policy.burst * part);
+    return spent ? std::nullopt : std::optional(std::move(refusal));
 }
 
 Task<void> RateService::keepStock()
@@ -70,12 +89,58 @@
         co_await sleepFor(stockInterval);
         if (m_purse.teamCount() > 0)
             sendAsks();
+        if (std::holds_alternative<RankedShares>(m_holding)
+            && steadyNow() - m_presenceShownAt >= presenceInterval)
+            showPresence();
     }
 }
 
-std::optional<int> RateService::distanceTo(std::uint32_t share) const
+const Member *RateService::holderOf(std::uint32_t share)
+{
+    struct Find
+    {
+        RateService &service;
+        std::uint32_t share;
+        const Member *operator()(const LeasedShares &) const
+        {
+            return service.m_membership.holderOf(share);
+        }
+        const Member *operator()(const RankedShares &ranked) const
+        {
+            return ranked.holders.holderOf(steadyNow(), share, service.m_membership.present());
+        }
+    };
+    return std::visit(Find {*this, share}, m_holding);
+}
+
+std::optional<TimePoint> RateService::heldSince(std::uint32_t share)
 {
-    const Member *holder = m_membership.holderOf(share);
+    struct Since
+    {
+        std::uint32_t share;
+        std::optional<TimePoint> operator()(const LeasedShares &leased) const
+        {
+            std::optional<TimePoint> since = leased.leases->heldSince(steadyNow(), share);
+            // All grants of a former holder lapse before this one mints its first token.
+            return since ? std::optional(*since + 2 * RateShare::grantLifetime) : std::nullopt;
+        }
+        std::optional<TimePoint> operator()(const RankedShares &ranked) const
+        {
+            return ranked.holders.heldSince(steadyNow(), share);
+        }
+    };
+    return std::visit(Since {share}, m_holding);
+}
+
+double RateService::partOf(std::uint32_t share)
+{
+    RankedShares *ranked = std::get_if<RankedShares>(&m_holding);
+    return ranked ? ranked->holders.part(steadyNow(), share, m_membership.present().size()) : 1;
+}
+
+std::optional<int> RateService::distanceTo(std::uint32_t share)
+{
+    const Member *holder = holderOf(share);
     if (!holder)
         return std::nullopt;
     if (holder->node == m_node.settings.node)
@@ -87,40 +152,60 @@
 {
     auto distance = [this](std::uint32_t share) { return distanceTo(share); };
     std::vector<SendTokenAsk> asks = m_purse.takeAsks(steadyNow(), m_policy.policy(), distance);
-    for (SendTokenAsk &ask : asks) {
-        const Member *holder = m_membership.holderOf(ask.share);
-        if (!holder)
-            continue;
-        if (holder->node == m_node.settings.node) {
-            m_purse.onGrant(steadyNow(), grantHere(ask.ask));
-            wakeWaiting();
-        } else {
-            m_gossip.send({holder->endpoint, m_membership.frame(std::move(ask.ask))});
-        }
+    for (SendTokenAsk &ask : asks)
+        sendAsk(std::move(ask));
+}
+
+void RateService::sendAsk(SendTokenAsk ask)
+{
+    const Member *holder = holderOf(ask.share);
+    if (!holder)
+        return;
+    if (holder->node == m_node.settings.node) {
+        m_purse.onGrant(steadyNow(), grantHere(ask.ask, m_node.settings.node));
+        wakeWaiting();
+        return;
+    }
+    if (RankedShares *ranked = std::get_if<RankedShares>(&m_holding))
+        ranked->holders.onAskSent(steadyNow(), holder->node);
+    m_gossip.send({holder->endpoint, m_membership.frame(std::move(ask.ask))});
+}
+
+void RateService::showPresence()
+{
+    m_presenceShownAt = steadyNow();
+    int shares = m_policy.policy().defaults.rateShares;
+    for (int share = 0; share < shares; ++share) {
+        SendTokenAsk ask {static_cast<std::uint32_t>(share), {}};
+        ask.ask.share = ask.share;
+        // The purse drops the answer: no ask of its own has this number.
+        ask.ask.sequence = presenceSequences + m_nextPresence++;
+        sendAsk(std::move(ask));
     }
 }
 
-TokenGrant RateService::grantHere(const TokenAsk &ask)
+TokenGrant RateService::grantHere(const TokenAsk &ask, const std::string &asking)
 {
     TimePoint now = steadyNow();
+    if (RankedShares *ranked = std::get_if<RankedShares>(&m_holding))
+        ranked->holders.onAsked(now, ask.share, asking);
     TokenGrant grant {ask.sequence, ask.share, {}, RateShare::grantLifetime};
-    std::optional<TimePoint> since = m_leases.heldSince(now, ask.share);
+    std::optional<TimePoint> since = heldSince(ask.share);
     auto held = m_shares.find(ask.share);
     if (held != m_shares.end() && (!since || held->second.since != *since)) {
         m_shares.erase(held);
         held = m_shares.end();
     }
-    if (since && held == m_shares.end()) {
-        // All grants of a former holder lapse before this one mints its first token.
-        TimePoint from = *since + 2 * RateShare::grantLifetime;
-        held = m_shares.emplace(ask.share, HeldShare {*since, RateShare(from)}).first;
-    }
+    if (since && held == m_shares.end())
+        held = m_shares.emplace(ask.share, HeldShare {*since, RateShare(*since)}).first;
     const Policy &policy = m_policy.policy();
+    double part = partOf(ask.share);
     for (const TokenAmount &wanted : ask.wanted) {
-        const TeamPolicy &team = policy.team(wanted.team);
-        std::vector<std::uint32_t> shares =
-            sharesOfTeam(wanted.team, team, policy.defaults.rateShares);
+        TeamPolicy team = policy.team(wanted.team);
+        std::vector<std::uint32_t> shares = sharesOfTeam(wanted.team, team, policy.defaults);
         bool mintsHere = std::find(shares.begin(), shares.end(), ask.share) != shares.end();
+        team.ratePerSecond *= part;
+        team.burst *= part;
         GrantedTokens granted {wanted.team, 0, 0};
         if (since && mintsHere)
             granted = held->second.share.grant(now, wanted.team, team,
@@ -133,8 +218,11 @@
 void RateService::onDatagram(const Datagram &datagram)
 {
     if (const TokenAsk *ask = std::get_if<TokenAsk>(&datagram.body)) {
-        m_gossip.send({datagram.senderEndpoint, m_membership.frame(grantHere(*ask))});
+        m_gossip.send({datagram.senderEndpoint,
+                       m_membership.frame(grantHere(*ask, datagram.sender))});
     } else if (const TokenGrant *grant = std::get_if<TokenGrant>(&datagram.body)) {
+        if (RankedShares *ranked = std::get_if<RankedShares>(&m_holding))
+            ranked->holders.onAnswer(datagram.sender);
         m_purse.onGrant(steadyNow(), *grant);
         wakeWaiting();
     }
--- a/src/transport/rate_service.h
+++ b/src/transport/rate_service.h
@@ -6,23 +6,40 @@
 
 #include "ibiswell/decisions/lease_keeper.h"
 #include "ibiswell/decisions/policy_store.h"
+#include "ibiswell/decisions/ranked_holders.h"
 #include "ibiswell/decisions/rate_share.h"
 #include "ibiswell/decisions/token_purse.h"
 #include "ibiswell/kernel/kernel.h"
 
 #include <map>
+#include <variant>
 
 namespace ibiswell {
 
+/** Which node mints the tokens of a share: the one that holds its lease in the platform. */
+struct LeasedShares
+{
+    LeaseKeeper *leases;
+};
+
+/** Which node mints the tokens of a share: the one that ranks first and answers. */
+struct RankedShares
+{
+    RankedHolders holders;
+    AloneBucket alone;
+};
+
+using ShareHolding = std::variant<LeasedShares, RankedShares>;
+
 /**
  * Holds requests to their team's rate over all VMs: spends tokens for the requests that enter
- * here, and grants tokens out of the shares whose leases this node holds.
+ * here, and grants tokens out of the shares that this node holds.
  */
 class RateService
 {
 public:
-    /** Looks up "node", "policy", "membership", "leases", "purse" and "gossip". */
-    RateService(Kernel &kernel, asio::io_context &context);
+    /** Looks up "node", "policy", "membership", "purse" and "gossip". */
+    RateService(Kernel &kernel, asio::io_context &context, ShareHolding holding);
 
     /** Nothing when the request is within its team's rate, else why it is refused. */
     Task<std::optional<Refusal>> pass(std::string team);
@@ -32,16 +49,25 @@
 
 private:
     void onDatagram(const Datagram &datagram);
-    TokenGrant grantHere(const TokenAsk &ask);
+    TokenGrant grantHere(const TokenAsk &ask, const std::string &asking);
     void sendAsks();
-    std::optional<int> distanceTo(std::uint32_t share) const;
+    void sendAsk(SendTokenAsk ask);
+    /** Asks for nothing, so that the holders know which nodes count on them. */
+    void showPresence();
+    const Member *holderOf(std::uint32_t share);
+    std::optional<TimePoint> heldSince(std::uint32_t share);
+    /** The part of a share's rate that this node mints. */
+    double partOf(std::uint32_t share);
+    /** What is left to a request when no holder answers. */
+    std::optional<Refusal> passAlone(const std::string &team, Refusal refusal);
+    std::optional<int> distanceTo(std::uint32_t share);
     void wakeWaiting();
 
     asio::io_context &m_context;
     NodeState &m_node;
     PolicyStore &m_policy;
     Membership &m_membership;
-    LeaseKeeper &m_leases;
+    ShareHolding m_holding;
     TokenPurse &m_purse;
     Gossip &m_gossip;
     struct HeldShare
@@ -50,6 +76,8 @@
         RateShare share;
     };
     std::map<std::uint32_t, HeldShare> m_shares;
+    TimePoint m_presenceShownAt;
+    std::uint64_t m_nextPresence = 0;
     asio::steady_timer m_granted; ///< Cancelled to wake the requests that wait for a grant.
 };
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -4,7 +4,6 @@
 #include <cereal/types/optional.hpp>
 #include <cereal/types/variant.hpp>
 
-#include <algorithm>
 #include <chrono>
 #include <sstream>
 #include <streambuf>
@@ -259,26 +258,6 @@
     a(m.sequence, m.share, m.granted, m.validFor);
 }
 
-template<class A> void serialize(A &a, TeamDemand &m)
-{
-    a(m.team, m.ratePerSecond);
-}
-
-template<class A> void serialize(A &a, DemandReport &m)
-{
-    a(m.demands);
-}
-
-template<class A> void serialize(A &a, TeamShare &m)
-{
-    a(m.team, m.share);
-}
-
-template<class A> void serialize(A &a, ShareGrant &m)
-{
-    a(m.shares);
-}
-
 template<class A> void serialize(A &a, Datagram &m)
 {
     a(m.sender, m.senderEndpoint, m.policyVersion, m.zonesRevision, m.updates, m.body);
@@ -358,17 +337,6 @@
     bool operator()(const RosterAnswer &m) const { return members(m.members); }
     bool operator()(const TokenAsk &m) const { return amounts(m.wanted); }
     bool operator()(const TokenGrant &m) const { return amounts(m.granted); }
-    bool operator()(const DemandReport &m) const
-    {
-        return std::all_of(m.demands.begin(), m.demands.end(), [](const TeamDemand &demand) {
-            return demand.ratePerSecond >= 0 && demand.ratePerSecond <= 1e9;
-        });
-    }
-    bool operator()(const ShareGrant &m) const
-    {
-        return std::all_of(m.shares.begin(), m.shares.end(),
-                           [&](const TeamShare &share) { return fraction(share.share); });
-    }
     template<class Other> bool operator()(const Other &) const { return true; }
 
     bool members(const std::vector<Member> &members) const
