--- a/benchmark/fixtures.h
+++ b/benchmark/fixtures.h
@@ -62,6 +62,7 @@
 struct CallDecisions
 {
     Kernel kernel;
+    Dialect &dialect = kernel.add<Dialect>("dialect", ownDialect());
     PolicyStore &policy = kernel.add<PolicyStore>("policy");
     PathTable &paths = kernel.add<PathTable>("paths");
     Contact &contact = kernel.add<Contact>("contact");
--- a/fuzz/policy_fuzz.cpp
+++ b/fuzz/policy_fuzz.cpp
@@ -115,7 +115,7 @@
         PolicyStore &store = system.stores[node];
         std::uint64_t before = store.version();
         if (fromPeer)
-            store.adopt(system.stores[pick % nodes].answerPull({before}));
+            store.adopt(system.stores[pick % nodes].answerPull({before, 0}));
         else if (!system.history.empty())
             store.adopt(system.history[pick % system.history.size()]);
         RC_ASSERT(store.version() >= before);
--- a/include/ibiswell/core/messages.h
+++ b/include/ibiswell/core/messages.h
@@ -242,9 +242,9 @@
     std::string sender; ///< Node name.
     Endpoint senderEndpoint;
     std::uint64_t policyVersion = 0;
-    std::uint64_t zonesRevision = 0;
     std::vector<Member> updates; ///< News of members, a few with each datagram.
     GossipBody body;
+    std::uint64_t zonesRevision = 0; ///< Of the zones that are out, see ZonesOut.
 };
 
 /** A datagram to be sent: an effect of a decision. */
--- a/include/ibiswell/decisions/retry_policy.h
+++ b/include/ibiswell/decisions/retry_policy.h
@@ -46,7 +46,7 @@
     int sends = 1; ///< Attempts made so far, free choices included.
     int retriesLeft = 0; ///< Of the call tree, for this call.
     Duration timeLeft {};
-    std::string service;
+    std::string service {};
     int targetsReached = 0; ///< Backend servers that got the request, or may have got it.
     int maximumTargets = 0; ///< Of the route; 0: not bounded.
 };
--- a/src/transport/peer_links.h
+++ b/src/transport/peer_links.h
@@ -11,10 +11,10 @@
 namespace ibiswell {
 
 /** How often a node that runs a call says so on its connection. */
-inline constexpr Duration workingInterval = std::chrono::milliseconds(100);
+inline constexpr Duration workingInterval = std::chrono::milliseconds(400);
 
 /** Without a message for this long, a connection with a call counts as silent. */
-inline constexpr Duration silenceLimit = std::chrono::milliseconds(400);
+inline constexpr Duration silenceLimit = std::chrono::milliseconds(1500);
 
 /** How an exchange with a peer ended: its reply, or why there is none. */
 using PeerReply = std::variant<PeerMessage, Refusal>;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -260,7 +260,7 @@
 
 template<class A> void serialize(A &a, Datagram &m)
 {
-    a(m.sender, m.senderEndpoint, m.policyVersion, m.zonesRevision, m.updates, m.body);
+    a(m.sender, m.senderEndpoint, m.policyVersion, m.updates, m.body, m.zonesRevision);
 }
 
 namespace {
--- a/tests/entry_admission_test.cpp
+++ b/tests/entry_admission_test.cpp
@@ -17,6 +17,7 @@
 struct FakeEntry
 {
     Kernel kernel;
+    Dialect &dialect = kernel.add<Dialect>("dialect", ownDialect());
     PolicyStore &policy = kernel.add<PolicyStore>("policy");
     PathTable &paths = kernel.add<PathTable>("paths");
     Contact &contact = kernel.add<Contact>("contact");
@@ -128,6 +129,7 @@
 TEST_CASE("a node without a policy serves nothing")
 {
     Kernel kernel;
+    kernel.add<Dialect>("dialect", ownDialect());
     kernel.add<PolicyStore>("policy");
     kernel.add<PathTable>("paths");
     kernel.add<Contact>("contact");
