--- a/include/ibiswell/transport/decision_log.h
+++ b/include/ibiswell/transport/decision_log.h
@@ -18,8 +18,10 @@
 class DecisionLog
 {
 public:
-    /** Looks up "log". */
-    explicit DecisionLog(Kernel &kernel);
+    static constexpr std::size_t usuallyKept = 20'000; ///< Requests.
+
+    /** Looks up "log". @param requestsKept for explain(); 0: the log alone tells. */
+    explicit DecisionLog(Kernel &kernel, std::size_t requestsKept = usuallyKept);
 
     void note(const std::string &requestId, std::string_view event, std::vector<LogField> fields);
 
@@ -27,9 +29,8 @@
     std::vector<std::string> explain(const std::string &requestId) const;
 
 private:
-    static constexpr std::size_t requestsKept = 20'000;
-
     Log &m_log;
+    std::size_t m_requestsKept;
     std::unordered_map<std::string, std::vector<std::string>> m_lines;
     std::deque<std::string> m_order;
 };
--- a/include/ibiswell/transport/log.h
+++ b/include/ibiswell/transport/log.h
@@ -26,8 +26,8 @@
 };
 
 /**
- * Writes structured lines to standard error through a bounded buffer and a writer thread, so that
- * a slow or blocked reader of standard error never stalls a request.
+ * Writes structured lines to standard output through a bounded buffer and a writer thread, so that
+ * a slow or blocked reader of it never stalls a request.
  *
  * When the buffer is full, lines are left out, and their number is written as soon as there is
  * room. Lines of a kind other than decisions are limited in their rate; the number left out is
@@ -48,7 +48,7 @@
     void write(TimePoint now, LogLevel level, std::string_view event,
                const std::vector<LogField> &fields);
 
-    /** Writes what is buffered, as far as standard error takes it within a second, and ends. */
+    /** Writes what is buffered, as far as its reader takes it in a short time, and ends. */
     void close();
 
     std::uint64_t linesLeftOut() const { return m_leftOut; }
--- a/src/transport/asio.h
+++ b/src/transport/asio.h
@@ -55,6 +55,17 @@
     co_await throwIfCancelled();
 }
 
+/**
+ * The same for a task that is cancelled as a matter of course, as the slower side of operator||:
+ * it ends without an exception, and false tells that it was cancelled.
+ */
+inline Task<bool> waitFor(Duration duration)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    auto [ec] = co_await timer.async_wait(asResult);
+    co_return !ec;
+}
+
 /** Wraps the outcome, because operator|| takes a std::variant apart into its alternatives. */
 template<typename T> Task<std::optional<T>> wrapped(Task<T> task)
 {
@@ -65,7 +76,7 @@
 template<typename T> Task<std::optional<T>> withTimeout(Task<T> task, Duration limit)
 {
     using namespace asio::experimental::awaitable_operators;
-    auto ended = co_await (wrapped(std::move(task)) || sleepFor(limit));
+    auto ended = co_await (wrapped(std::move(task)) || waitFor(limit));
     co_await throwIfCancelled();
     if (ended.index() == 0)
         co_return std::move(std::get<0>(ended));
@@ -143,20 +154,4 @@
                   "cannot listen on " + toString(endpoint) + ": " + ec.message()};
 }
 
-/** Connects within @p limit; nothing on failure. */
-inline Task<std::optional<tcp::socket>> connectTo(Endpoint endpoint, Duration limit)
-{
-    std::optional<tcp::endpoint> target = toTcp(endpoint);
-    if (!target)
-        co_return std::nullopt;
-    tcp::socket socket(co_await asio::this_coro::executor);
-    using namespace asio::experimental::awaitable_operators;
-    auto ended = co_await (socket.async_connect(*target, asResult) || sleepFor(limit));
-    if (ended.index() != 0 || std::get<0>(std::get<0>(ended)))
-        co_return std::nullopt;
-    boost::system::error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    co_return std::optional<tcp::socket>(std::move(socket));
-}
-
 } // namespace ibiswell
--- a/src/transport/decision_log.cpp
+++ b/src/transport/decision_log.cpp
@@ -4,8 +4,9 @@
 
 namespace ibiswell {
 
-DecisionLog::DecisionLog(Kernel &kernel)
+DecisionLog::DecisionLog(Kernel &kernel, std::size_t requestsKept)
     : m_log(kernel.get<Log>("log"))
+    , m_requestsKept(requestsKept)
 {
 }
 
@@ -14,6 +15,8 @@
 {
     fields.insert(fields.begin(), {"request", requestId});
     m_log.decision(event, fields);
+    if (m_requestsKept == 0)
+        return;
     std::string line {event};
     for (const LogField &field : fields)
         line += fmt::format(" {}={}", field.name, field.value);
@@ -22,7 +25,7 @@
     if (!isNew)
         return;
     m_order.push_back(requestId);
-    if (m_order.size() > requestsKept) {
+    if (m_order.size() > m_requestsKept) {
         m_lines.erase(m_order.front());
         m_order.pop_front();
     }
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,6 +1,7 @@
 #include "http_client.h"
 
 #include "http_messages.h"
+#include "socket_deadline.h"
 
 #include "ibiswell/wire/codec.h"
 
@@ -82,13 +83,16 @@
                            Execution::NotRun};
     Reuse reuse;
     Duration left = std::max<Duration>(1ms, limit - (steadyNow() - start));
-    auto exchanging = exchangeOn(*socket, request, reuse);
-    std::optional<CallResult> result = co_await withTimeout(std::move(exchanging), left);
-    if (!result)
-        co_return unknown(ErrorKind::DeadlineExceeded, "no whole answer in time");
+    CallResult result;
+    {
+        SocketDeadline deadline(*socket, left);
+        result = co_await exchangeOn(*socket, request, reuse);
+        if (deadline.hasPassed() && std::holds_alternative<Refusal>(result))
+            co_return unknown(ErrorKind::DeadlineExceeded, "no whole answer in time");
+    }
     if (reuse.allowed && m_idle.size() < idleKept)
         m_idle.push_back({std::move(*socket), steadyNow() + reuse.idleLimit});
-    co_return std::move(*result);
+    co_return result;
 }
 
 Task<CallResult> HttpClient::exchangeOn(tcp::socket &socket, const HttpRequest &request,
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,6 +1,7 @@
 #include "http_server.h"
 
 #include "http_messages.h"
+#include "socket_deadline.h"
 
 #include <fmt/format.h>
 
@@ -156,30 +157,33 @@
     parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     parser.body_limit(static_cast<std::uint64_t>(limits.bodyBytes));
     if (buffer.size() == 0) {
-        auto idle = session.socket.async_wait(tcp::socket::wait_read, asResult);
-        auto waited = co_await withTimeout(std::move(idle), limits.idleConnection);
-        if (!waited || std::get<0>(*waited) || m_stopping)
+        SocketDeadline idle(session.socket, limits.idleConnection);
+        auto [ec] = co_await session.socket.async_wait(tcp::socket::wait_read, asResult);
+        if (ec || m_stopping)
             co_return std::nullopt;
     }
     session.busy = true;
-    auto readingHeader = http::async_read_header(session.socket, buffer, parser, asResult);
-    auto header = co_await withTimeout(std::move(readingHeader), limits.slowClient);
-    bool headerRead = header && !std::get<0>(*header);
-    if (headerRead && hasUnknownCoding(parser)) {
+    std::optional<SocketDeadline> slow;
+    slow.emplace(session.socket, limits.slowClient);
+    auto [error, bytes] = co_await http::async_read_header(session.socket, buffer, parser, asResult);
+    bool unknownCoding = !error && hasUnknownCoding(parser);
+    if (!error && !unknownCoding && !parser.is_done()) {
+        auto [bodyError, bodyBytes] =
+            co_await http::async_read(session.socket, buffer, parser, asResult);
+        error = bodyError;
+    }
+    bool tooSlow = slow->hasPassed();
+    slow.reset();
+    if (unknownCoding) {
         co_await refuse(session.socket, 501, "the transfer coding of the body is not known");
         co_return std::nullopt;
     }
-    auto read = std::move(header);
-    if (headerRead && !parser.is_done()) {
-        auto readingBody = http::async_read(session.socket, buffer, parser, asResult);
-        read = co_await withTimeout(std::move(readingBody), limits.slowClient);
-    }
-    if (!read) {
+    if (error && tooSlow) {
         co_await refuse(session.socket, 408, "the request was sent too slowly");
         co_return std::nullopt;
     }
-    if (std::get<0>(*read)) {
-        ReadFault fault = faultOf(std::get<0>(*read));
+    if (error) {
+        ReadFault fault = faultOf(error);
         if (fault.status != 0)
             co_await refuse(session.socket, fault.status, fault.text);
         co_return std::nullopt;
@@ -197,10 +201,10 @@
         co_return false;
     bool goesOn = keepAlive && !m_stopping && !m_draining;
     auto response = toResponse(std::move(std::get<0>(ended)), goesOn, isHead);
-    auto writing = http::async_write(session.socket, response, asResult);
-    auto written = co_await withTimeout(std::move(writing), m_limits().slowClient);
+    SocketDeadline slow(session.socket, m_limits().slowClient);
+    auto [error, bytes] = co_await http::async_write(session.socket, response, asResult);
     session.busy = false;
-    co_return goesOn && written && !std::get<0>(*written) && !m_stopping;
+    co_return goesOn && !error && !m_stopping;
 }
 
 Task<void> HttpServer::refuse(tcp::socket &socket, int status, std::string_view text)
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -14,7 +14,9 @@
 
 constexpr int linesOfOneKind = 20; // in each window
 constexpr Duration repetitionWindow = 1s;
-constexpr auto longestDrain = 1s; // when the process ends
+constexpr std::size_t writeBytes = 4096; // what a pipe that polls writable takes at once
+constexpr auto batchTime = 100ms;
+constexpr auto longestDrain = 300ms; // when the process ends
 
 std::string_view levelName(LogLevel level)
 {
@@ -47,14 +49,31 @@
     line += '"';
 }
 
-std::string format(std::string_view level, std::string_view event,
-                   const std::vector<LogField> &fields)
+/** Appends the time of day; the text of its second is kept, since most lines share one. */
+void appendTime(std::string &line)
 {
     auto now =
         std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-    auto millis = now.time_since_epoch() % 1s;
-    std::string line = fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}", fmt::gmtime(now),
-                                   millis.count(), level, event);
+    auto second = std::chrono::floor<std::chrono::seconds>(now);
+    thread_local std::chrono::time_point<std::chrono::system_clock, std::chrono::seconds> known;
+    thread_local std::string text;
+    if (second != known) {
+        known = second;
+        text = fmt::format("{:%Y-%m-%dT%H:%M:%S}.", fmt::gmtime(second));
+    }
+    fmt::format_to(std::back_inserter(line), "{}{:03}Z ", text, (now - second).count());
+}
+
+std::string format(std::string_view level, std::string_view event,
+                   const std::vector<LogField> &fields)
+{
+    constexpr std::size_t usualLength = 256;
+    std::string line;
+    line.reserve(usualLength);
+    appendTime(line);
+    line += level;
+    line += ' ';
+    line += event;
     for (const LogField &field : fields) {
         line += ' ';
         line += field.name;
@@ -148,6 +167,8 @@
         {
             std::unique_lock lock(m_mutex);
             m_wake.wait(lock, [this] { return m_stopping || !m_buffer.empty(); });
+            // Lines that come together are written together: a wake-up for each costs more.
+            m_wake.wait_for(lock, batchTime, [this] { return m_stopping; });
             if (m_buffer.empty())
                 return;
             chunk.swap(m_buffer);
@@ -163,11 +184,11 @@
                 if (now > drainUntil)
                     return;
             }
-            pollfd descriptor {STDERR_FILENO, POLLOUT, 0};
+            pollfd descriptor {STDOUT_FILENO, POLLOUT, 0};
             if (::poll(&descriptor, 1, 100) <= 0)
                 continue;
-            std::size_t length = std::min<std::size_t>(chunk.size() - written, 4096);
-            ssize_t count = ::write(STDERR_FILENO, chunk.data() + written, length);
+            std::size_t length = std::min<std::size_t>(chunk.size() - written, writeBytes);
+            ssize_t count = ::write(STDOUT_FILENO, chunk.data() + written, length);
             if (count <= 0)
                 return;
             written += static_cast<std::size_t>(count);
--- a/src/transport/node.cpp
+++ b/src/transport/node.cpp
@@ -121,7 +121,8 @@
 void Node::Parts::addTransport()
 {
     kernel.add<Metrics>("metrics");
-    kernel.add<DecisionLog>("decisions", kernel);
+    bool explains = std::holds_alternative<OwnFront>(front);
+    kernel.add<DecisionLog>("decisions", kernel, explains ? DecisionLog::usuallyKept : 0);
     kernel.add<PeerLinks>("peer-links");
     kernel.add<Gossip>("gossip", kernel, context);
 }
--- a/src/transport/peer_connection.cpp
+++ b/src/transport/peer_connection.cpp
@@ -1,5 +1,7 @@
 #include "peer_connection.h"
 
+#include "socket_deadline.h"
+
 #include "ibiswell/wire/codec.h"
 
 #include <boost/endian/conversion.hpp>
@@ -12,6 +14,8 @@
 
 constexpr std::size_t prefixBytes = 4;
 constexpr std::size_t chunkBytes = 256u << 10; // a false length costs no more memory
+constexpr std::size_t leastRead = 2048; // most messages come in one read
+constexpr std::size_t bufferKept = 16u << 10; // bytes that an idle connection may hold
 
 } // namespace
 
@@ -20,21 +24,29 @@
 {
 }
 
-Task<bool> PeerConnection::readAll(std::span<char> bytes, std::optional<Duration> silence)
+bool PeerConnection::isSpoiled()
 {
-    while (!bytes.empty()) {
-        auto reading = m_socket.async_read_some(asio::buffer(bytes.data(), bytes.size()), asResult);
-        std::optional<std::tuple<boost::system::error_code, std::size_t>> read;
+    return !m_buffer.empty() || ibiswell::isSpoiled(m_socket);
+}
+
+Task<bool> PeerConnection::fill(std::size_t size, std::optional<Duration> silence)
+{
+    while (m_buffer.size() < size) {
+        std::size_t held = m_buffer.size();
+        std::size_t wanted = std::clamp(size - held, leastRead, chunkBytes);
+        m_buffer.resize(held + wanted);
+        std::optional<SocketDeadline> deadline;
         if (silence)
-            read = co_await withTimeout(std::move(reading), *silence);
-        else
-            read = co_await std::move(reading);
-        if (!read || std::get<0>(*read)) {
+            deadline.emplace(m_socket, *silence);
+        auto [ec, count] = co_await m_socket.async_read_some(
+            asio::buffer(m_buffer.data() + held, wanted), asResult);
+        m_buffer.resize(held + (ec ? 0 : count));
+        if (ec) {
+            bool silent = deadline && deadline->hasPassed();
             m_lastError = Error {ErrorKind::ConnectionLost,
-                                 read ? std::get<0>(*read).message() : "the connection is silent"};
+                                 silent ? "the connection is silent" : ec.message()};
             co_return false;
         }
-        bytes = bytes.subspan(std::get<1>(*read));
     }
     co_return true;
 }
@@ -42,16 +54,16 @@
 Task<bool> PeerConnection::writeAll(std::span<const char> bytes, Duration silence)
 {
     while (!bytes.empty()) {
-        auto writing =
-            m_socket.async_write_some(asio::buffer(bytes.data(), bytes.size()), asResult);
-        auto written = co_await withTimeout(std::move(writing), silence);
-        if (!written || std::get<0>(*written)) {
-            m_lastError =
-                Error {ErrorKind::ConnectionLost,
-                       written ? std::get<0>(*written).message() : "the connection takes no bytes"};
+        SocketDeadline deadline(m_socket, silence);
+        auto [ec, count] = co_await m_socket.async_write_some(
+            asio::buffer(bytes.data(), bytes.size()), asResult);
+        if (ec) {
+            bool silent = deadline.hasPassed();
+            m_lastError = Error {ErrorKind::ConnectionLost,
+                                 silent ? "the connection takes no bytes" : ec.message()};
             co_return false;
         }
-        bytes = bytes.subspan(std::get<1>(*written));
+        bytes = bytes.subspan(count);
     }
     co_return true;
 }
@@ -67,31 +79,26 @@
 
 Task<std::optional<PeerMessage>> PeerConnection::receive(std::optional<Duration> silence)
 {
-    std::array<char, prefixBytes> prefix {};
-    bool whole = co_await readAll(prefix, silence);
+    bool whole = co_await fill(prefixBytes, silence);
     if (!whole)
         co_return std::nullopt;
-    std::size_t left =
-        boost::endian::load_little_u32(reinterpret_cast<unsigned char *>(prefix.data()));
-    if (left > maximumPeerMessageBytes) {
+    std::size_t length =
+        boost::endian::load_little_u32(reinterpret_cast<unsigned char *>(m_buffer.data()));
+    if (length > maximumPeerMessageBytes) {
         m_lastError = Error {ErrorKind::MalformedMessage, "message too long"};
         co_return std::nullopt;
     }
-    std::string body;
-    while (left > 0) {
-        std::size_t chunk = std::min(left, chunkBytes);
-        std::size_t start = body.size();
-        body.resize(start + chunk);
-        std::span<char> bytes(body.data() + start, chunk);
-        whole = co_await readAll(bytes, silence);
-        if (!whole)
-            co_return std::nullopt;
-        left -= chunk;
-    }
+    whole = co_await fill(prefixBytes + length, silence);
+    if (!whole)
+        co_return std::nullopt;
     Error error;
+    std::string_view body(m_buffer.data() + prefixBytes, length);
     std::optional<PeerMessage> message = decodePeerMessage(body, error);
     if (!message)
         m_lastError = error;
+    m_buffer.erase(0, prefixBytes + length);
+    if (m_buffer.empty() && m_buffer.capacity() > bufferKept)
+        m_buffer.shrink_to_fit();
     co_return message;
 }
 
--- a/src/transport/peer_connection.h
+++ b/src/transport/peer_connection.h
@@ -25,14 +25,19 @@
      */
     Task<std::optional<PeerMessage>> receive(std::optional<Duration> silence);
 
+    /** Whether it may not be used again: closed by the peer, or with bytes that nobody asked for. */
+    bool isSpoiled();
+
     tcp::socket &socket() { return m_socket; }
     const std::optional<Error> &lastError() const { return m_lastError; }
 
 private:
-    Task<bool> readAll(std::span<char> bytes, std::optional<Duration> silence);
+    /** Reads until @p size bytes are in the buffer. */
+    Task<bool> fill(std::size_t size, std::optional<Duration> silence);
     Task<bool> writeAll(std::span<const char> bytes, Duration silence);
 
     tcp::socket m_socket;
+    std::string m_buffer; ///< Bytes that were read and belong to the next messages.
     std::optional<Error> m_lastError;
 };
 
--- a/src/transport/peer_links.cpp
+++ b/src/transport/peer_links.cpp
@@ -1,5 +1,7 @@
 #include "peer_links.h"
 
+#include "socket_deadline.h"
+
 #include <fmt/format.h>
 
 namespace ibiswell {
@@ -9,7 +11,8 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t idleKeptForPeer = 16;
-constexpr Duration connectLimit = 500ms;
+/** A node that lives answers at once; a lost packet is sent again after a second only. */
+constexpr Duration connectLimit = 250ms;
 
 Refusal lost(std::string detail)
 {
@@ -24,7 +27,7 @@
     while (found != m_idle.end() && !found->second.empty()) {
         PeerConnection link = std::move(found->second.back());
         found->second.pop_back();
-        if (!isSpoiled(link.socket()))
+        if (!link.isSpoiled())
             co_return std::optional<PeerConnection>(std::move(link));
     }
     std::optional<tcp::socket> socket = co_await connectTo(peer, std::min(limit, connectLimit));
@@ -42,35 +45,33 @@
 
 Task<PeerReply> PeerLinks::exchange(Endpoint peer, PeerMessage request, Duration limit)
 {
-    auto running = run(peer, std::move(request), limit);
-    std::optional<PeerReply> reply = co_await withTimeout(std::move(running), limit);
-    if (!reply)
-        co_return lost("no reply in time");
-    co_return std::move(*reply);
+    return run(std::move(peer), std::move(request), limit);
 }
 
 Task<PeerReply> PeerLinks::call(Endpoint peer, CallMessage call)
 {
     Duration limit = call.context.timeLeft;
-    auto running = run(peer, PeerMessage(std::move(call)), limit);
-    std::optional<PeerReply> reply = co_await withTimeout(std::move(running), limit);
-    if (!reply)
-        co_return Refusal {ErrorKind::DeadlineExceeded, "no whole answer in time",
-                           Execution::Unknown};
-    co_return std::move(*reply);
+    return run(std::move(peer), PeerMessage(std::move(call)), limit);
 }
 
 Task<PeerReply> PeerLinks::run(Endpoint peer, PeerMessage request, Duration limit)
 {
+    TimePoint deadline = steadyNow() + limit;
     std::optional<PeerConnection> link = co_await connection(peer, limit);
     if (!link)
         co_return Refusal {ErrorKind::ConnectFailed,
                            fmt::format("no connection to {}", toString(peer)), Execution::NotRun};
     PeerReply reply = lost("");
-    if (CallMessage *call = std::get_if<CallMessage>(&request))
-        reply = co_await awaitAnswer(*link, std::move(*call));
-    else
-        reply = co_await awaitReply(*link, std::move(request));
+    {
+        SocketDeadline bound(link->socket(), deadline - steadyNow());
+        if (CallMessage *call = std::get_if<CallMessage>(&request))
+            reply = co_await awaitAnswer(*link, std::move(*call));
+        else
+            reply = co_await awaitReply(*link, std::move(request));
+        if (bound.hasPassed() && std::holds_alternative<Refusal>(reply))
+            reply = Refusal {ErrorKind::DeadlineExceeded, "no whole answer in time",
+                             Execution::Unknown};
+    }
     if (std::holds_alternative<PeerMessage>(reply))
         keep(peer, std::move(*link));
     co_return reply;
--- a/src/transport/peer_server.cpp
+++ b/src/transport/peer_server.cpp
@@ -106,7 +106,9 @@
 Task<bool> PeerServer::keepWorking(PeerConnection &connection, std::uint64_t callId)
 {
     for (;;) {
-        co_await sleepFor(workingInterval);
+        bool goesOn = co_await waitFor(workingInterval);
+        if (!goesOn)
+            co_return false;
         PeerMessage message = WorkingMessage {callId};
         bool sent = co_await connection.send(message, silenceLimit);
         if (!sent)
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -277,12 +277,35 @@
     bool isAtEnd() const { return gptr() == egptr(); }
 };
 
+/** Appends to a text that it owns. */
+class TextBuffer : public std::streambuf
+{
+public:
+    std::string take() { return std::move(m_text); }
+
+protected:
+    std::streamsize xsputn(const char *bytes, std::streamsize count) override
+    {
+        m_text.append(bytes, static_cast<std::size_t>(count));
+        return count;
+    }
+    int_type overflow(int_type byte) override
+    {
+        m_text.push_back(traits_type::to_char_type(byte));
+        return byte;
+    }
+
+private:
+    std::string m_text;
+};
+
 template<class Message> std::string encodeMessage(const Message &message)
 {
-    std::ostringstream stream;
+    TextBuffer buffer;
+    std::ostream stream(&buffer);
     cereal::PortableBinaryOutputArchive archive(stream);
     archive(message);
-    return std::move(stream).str();
+    return buffer.take();
 }
 
 template<class Message> std::optional<Message> decodeMessage(std::string_view bytes, Error &error)
