--- a/include/ibiswell/decisions/router.h
+++ b/include/ibiswell/decisions/router.h
@@ -37,8 +37,12 @@
 };
 
 /**
- * Chooses a target for each call: of a few random ones the one that should answer first, by the
- * load that its answers carried, its learned limit and the distance of its zone.
+ * Chooses a target for each call: of a few random ones, with those of the own zone among them, the
+ * one that should answer first, by the load that its answers carried, its limit and its zone.
+ *
+ * Load that it answers: each zone's own demand stays in the zone while its targets have room, which
+ * saves the way and the bytes between zones; as they fill up, the price of their load drives what
+ * is too much to the targets of other zones, a little for each node.
  *
  * A target is judged by its answers alone. A connection that went silent is held against the path
  * to the target for a short time only; answers that fail raise the target's price until others
@@ -76,6 +80,13 @@
         TimePoint avoidUntil;
     };
 
+    /** The nodes of one service. */
+    struct Nodes
+    {
+        std::vector<std::string> all;
+        std::vector<std::string> ownZone;
+    };
+
     Target *targetOf(const std::string &node);
     bool isUsable(TimePoint now, const Target &target, const RouteQuery &query) const;
     double price(const Target &target) const;
@@ -84,7 +95,7 @@
     std::string m_ownZone;
     Duration m_otherZoneLatency;
     std::unordered_map<std::string, Target> m_targets; ///< By node.
-    std::map<std::string, std::vector<std::string>, std::less<>> m_services; ///< Nodes by service.
+    std::map<std::string, Nodes, std::less<>> m_services;
     std::optional<Error> m_lastError;
 };
 
--- a/include/ibiswell/transport/decision_log.h
+++ b/include/ibiswell/transport/decision_log.h
@@ -23,6 +23,9 @@
     /** Looks up "log". @param requestsKept for explain(); 0: the log alone tells. */
     explicit DecisionLog(Kernel &kernel, std::size_t requestsKept = usuallyKept);
 
+    /** Whether each step of a request is told, or its end and what went out of the ordinary. */
+    bool tellsEachStep() const { return m_requestsKept > 0; }
+
     void note(const std::string &requestId, std::string_view event, std::vector<LogField> fields);
 
     /** Lines of a request, the oldest first; empty when none is kept. */
--- a/src/decisions/router.cpp
+++ b/src/decisions/router.cpp
@@ -10,6 +10,9 @@
 using namespace std::chrono_literals;
 
 constexpr int samplesPerChoice = 3;
+constexpr int ownZoneSamples = 2;
+/** A target of another zone is chosen when those of the own zone take this much longer. */
+constexpr double otherZoneFactor = 1.6;
 constexpr int drawsPerChoice = 12; // random draws before all targets are looked through
 constexpr double failureSmoothing = 0.1;
 constexpr double priceOfFailure = 10; // a target that always fails costs this many times more
@@ -35,8 +38,9 @@
     auto found = m_targets.find(node);
     if (found == m_targets.end())
         return;
-    std::vector<std::string> &nodes = m_services[found->second.member.service];
-    std::erase(nodes, node);
+    Nodes &nodes = m_services[found->second.member.service];
+    std::erase(nodes.all, node);
+    std::erase(nodes.ownZone, node);
     m_targets.erase(found);
 }
 
@@ -66,7 +70,10 @@
     target.load.limit = 4;
     target.load.serviceTime = 5ms;
     m_targets.emplace(member.node, std::move(target));
-    m_services[member.service].push_back(member.node);
+    Nodes &nodes = m_services[member.service];
+    nodes.all.push_back(member.node);
+    if (member.zone == m_ownZone)
+        nodes.ownZone.push_back(member.node);
 }
 
 bool Router::isUsable(TimePoint now, const Target &target, const RouteQuery &query) const
@@ -88,7 +95,7 @@
     double seconds = inSeconds(target.load.serviceTime) * (1 + load * load);
     seconds *= 1 + priceOfFailure * target.failures;
     if (target.member.zone != m_ownZone)
-        seconds += 2 * inSeconds(m_otherZoneLatency);
+        seconds = seconds * otherZoneFactor + 2 * inSeconds(m_otherZoneLatency);
     if (target.member.state == MemberState::Suspect)
         seconds *= 2;
     return seconds;
@@ -97,12 +104,13 @@
 std::optional<RouteChoice> Router::choose(TimePoint now, const RouteQuery &query, Random &random)
 {
     auto service = m_services.find(query.service);
-    if (service == m_services.end() || service->second.empty()) {
+    if (service == m_services.end() || service->second.all.empty()) {
         m_lastError = Error {ErrorKind::NoTarget,
                              fmt::format("no target of service \"{}\" is known", query.service)};
         return std::nullopt;
     }
-    const std::vector<std::string> &nodes = service->second;
+    const std::vector<std::string> &nodes = service->second.all;
+    const std::vector<std::string> &near = service->second.ownZone;
     const Target *best = nullptr;
     int sampled = 0;
     auto consider = [&](const Target &target) {
@@ -112,6 +120,9 @@
         if (!best || price(target) < price(*best))
             best = &target;
     };
+    for (int draw = 0; draw < ownZoneSamples && !near.empty(); ++draw)
+        consider(m_targets.at(near[pickIndex(random, near.size())]));
+    sampled = 0;
     for (int draw = 0; draw < drawsPerChoice && sampled < samplesPerChoice; ++draw)
         consider(m_targets.at(nodes[pickIndex(random, nodes.size())]));
     if (!best) {
--- a/src/transport/call_path.cpp
+++ b/src/transport/call_path.cpp
@@ -16,6 +16,12 @@
     int targetsReached = 0; ///< Backend servers that got the request, or may have got it.
     double pathFraction = 1;
     std::uint8_t retriesLeft = 0;
+    std::string target;
+
+    CallOutcome outcome(CallResult result) const
+    {
+        return {std::move(result), pathFraction, retriesLeft, target, sends};
+    }
 };
 
 /** Tells the router of a send whose answer never came because the call was cancelled. */
@@ -69,15 +75,16 @@
         if (!choice) {
             if (attempt.sends == 0)
                 refusal.detail = m_router.lastError()->detail;
-            co_return CallOutcome {refusal, attempt.pathFraction, attempt.retriesLeft};
+            co_return attempt.outcome(std::move(refusal));
         }
+        attempt.target = choice->node;
         AnswerMessage answer = co_await send(attempt, *choice);
         if (HttpAnswer *whole = std::get_if<HttpAnswer>(&answer.result))
-            co_return CallOutcome {std::move(*whole), attempt.pathFraction, attempt.retriesLeft};
+            co_return attempt.outcome(std::move(*whole));
         refusal = std::get<Refusal>(answer.result);
         bool again = co_await retry(attempt, *choice, refusal);
         if (!again)
-            co_return CallOutcome {refusal, attempt.pathFraction, attempt.retriesLeft};
+            co_return attempt.outcome(std::move(refusal));
     }
 }
 
@@ -99,6 +106,8 @@
                           {"reason", m_router.lastError()->detail}});
         return std::nullopt;
     }
+    if (attempt.sends == 0 && !m_decisions.tellsEachStep())
+        return choice; // the line on the answer tells of it
     m_decisions.note(context.requestId, "route",
                      {{"team", context.team},
                       {"class", std::string(toString(context.priority))},
--- a/src/transport/call_path.h
+++ b/src/transport/call_path.h
@@ -23,6 +23,8 @@
     CallResult result;
     double pathFraction = 1;
     std::uint8_t retriesLeft = 0;
+    std::string target; ///< Node of the last target; empty when none was found.
+    int sends = 0;
 };
 
 /** Brings a call to a target and, within the budgets, to another one when that fails. */
--- a/src/transport/front.cpp
+++ b/src/transport/front.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::string_view controlPrefix = "/-/";
+/** Of a request that was refused before its deadline was read. */
+constexpr Duration usualTimeLeft = std::chrono::seconds(1);
 
 CallerLimits limitsFrom(const NodeSettings &settings, const PolicyStore &policy)
 {
@@ -62,10 +64,10 @@
         requestId = m_node.makeId();
     EntryVerdict verdict = m_entry.admit(start, std::move(request), requestId, m_node.random);
     if (Refusal *refusal = std::get_if<Refusal>(&verdict))
-        co_return finish(requestId, nullptr, start, std::move(*refusal));
+        co_return finish(requestId, nullptr, start, CallOutcome {std::move(*refusal)});
     Entered entered = std::move(std::get<Entered>(verdict));
     CallOutcome outcome = co_await runEntered(entered);
-    co_return finish(requestId, &entered, start, std::move(outcome.result));
+    co_return finish(requestId, &entered, start, std::move(outcome));
 }
 
 /** Asks for the rate and, where the request must run once, for the right to run it. */
@@ -97,7 +99,7 @@
     if (!inherited) {
         Refusal refusal {ErrorKind::Cancelled, "the call that this one belongs to has ended",
                          Execution::NotRun};
-        co_return finish(m_node.makeId(), nullptr, start, std::move(refusal));
+        co_return finish(m_node.makeId(), nullptr, start, CallOutcome {std::move(refusal)});
     }
     struct BelowGuard
     {
@@ -110,36 +112,59 @@
     std::string requestId = inherited->requestId;
     EntryVerdict verdict = m_entry.admitBelow(std::move(request), std::move(*inherited));
     if (Refusal *refusal = std::get_if<Refusal>(&verdict))
-        co_return finish(requestId, nullptr, start, std::move(*refusal));
+        co_return finish(requestId, nullptr, start, CallOutcome {std::move(*refusal)});
     Entered entered = std::move(std::get<Entered>(verdict));
     CallOutcome outcome = co_await m_path.run(entered);
     guard.retriesLeft = outcome.retriesLeft;
     guard.pathFraction = outcome.pathFraction;
-    co_return finish(requestId, &entered, start, std::move(outcome.result));
+    co_return finish(requestId, &entered, start, std::move(outcome));
+}
+
+void Front::noteAnswer(const std::string &requestId, const Entered &entered,
+                       const CallOutcome &outcome, const HttpAnswer &answer, Duration took)
+{
+    m_decisions.note(requestId, "answer",
+                     {{"team", entered.context.team},
+                      {"class", std::string(toString(entered.context.priority))},
+                      {"route", entered.route.name},
+                      {"version", fmt::to_string(m_policy.version())},
+                      {"service", entered.service},
+                      {"target", outcome.target},
+                      {"sends", fmt::to_string(outcome.sends)},
+                      {"status", fmt::to_string(answer.status)},
+                      {"ms", fmt::format("{:.1f}", inSeconds(took) * 1000)}});
 }
 
 HttpAnswer Front::finish(const std::string &requestId, const Entered *entered, TimePoint start,
-                         CallResult result)
+                         CallOutcome outcome)
 {
+    CallResult &result = outcome.result;
     std::string team = entered ? entered->context.team : "";
     PriorityClass priority = entered ? entered->context.priority : PriorityClass::Normal;
     if (HttpAnswer *answer = std::get_if<HttpAnswer>(&result)) {
         m_metrics.answered(entered ? entered->route.name : "", team, priority, steadyNow() - start);
+        if (!m_decisions.tellsEachStep())
+            noteAnswer(requestId, *entered, outcome, *answer, steadyNow() - start);
         if (!answer->hasHeader(m_dialect.names.requestId))
             answer->headers.push_back({m_dialect.names.requestId, requestId});
         return std::move(*answer);
     }
     Refusal &refusal = std::get<Refusal>(result);
-    bool mayReturn = refusal.execution == Execution::NotRun && entered;
-    if (mayReturn)
-        refusal.retryAfter = returnAfter(
-            refusal, entered->context.timeLeft - (steadyNow() - start), m_node.random);
+    Duration timeLeft = entered ? entered->context.timeLeft : usualTimeLeft;
+    if (refusal.execution == Execution::NotRun)
+        refusal.retryAfter =
+            returnAfter(refusal, timeLeft - (steadyNow() - start), m_node.random);
     m_metrics.refused(refusal.kind, team, priority);
     m_decisions.note(requestId, "refuse",
                      {{"team", team},
                       {"class", std::string(toString(priority))},
                       {"error", std::string(answerFor(refusal.kind).name)},
                       {"execution", std::string(toString(refusal.execution))},
+                      {"route", entered ? entered->route.name : ""},
+                      {"version", fmt::to_string(m_policy.version())},
+                      {"target", outcome.target},
+                      {"sends", fmt::to_string(outcome.sends)},
+                      {"ms", fmt::format("{:.1f}", inSeconds(steadyNow() - start) * 1000)},
                       {"reason", refusal.detail}});
     return m_dialect.writeRefusal(m_dialect.names, requestId, refusal);
 }
--- a/src/transport/front.h
+++ b/src/transport/front.h
@@ -43,7 +43,9 @@
     Task<HttpAnswer> handleBelow(HttpRequest request, std::string token);
     Task<CallOutcome> runEntered(Entered entered);
     HttpAnswer finish(const std::string &requestId, const Entered *entered, TimePoint start,
-                      CallResult result);
+                      CallOutcome outcome);
+    void noteAnswer(const std::string &requestId, const Entered &entered,
+                    const CallOutcome &outcome, const HttpAnswer &answer, Duration took);
 
     NodeState &m_node;
     const Dialect &m_dialect;
--- a/src/transport/target_service.cpp
+++ b/src/transport/target_service.cpp
@@ -272,6 +272,10 @@
                                           m_paths.fraction(steadyNow(), keyBelow(call))});
     message.retriesLeft = ended.retriesLeft;
     const Refusal *refusal = std::get_if<Refusal>(&result);
+    if (!refusal && !m_decisions.tellsEachStep()) {
+        message.result = std::move(result);
+        return message; // the entry node's line tells of it
+    }
     std::string outcome = refusal ? std::string(answerFor(refusal->kind).name) : "answered";
     std::string reason = refusal ? refusal->detail : "a slot was free";
     m_decisions.note(call.context.requestId, "place",
