--- a/include/ibiswell/core/messages.h
+++ b/include/ibiswell/core/messages.h
@@ -126,7 +126,7 @@
 struct PolicyAnswer
 {
     std::variant<std::monostate, std::vector<PolicyDelta>, PolicyDocument> news;
-    ZonesOut zones;
+    ZonesOut zones {};
 };
 
 /** Asks the owner of an idempotency key for the right to run its request. */
--- a/src/decisions/entry_admission.cpp
+++ b/src/decisions/entry_admission.cpp
@@ -83,8 +83,8 @@
         request.removeHeader(headers::authorization);
     request.removeHeader(m_dialect.names.key);
     std::erase_if(request.headers, [&](const HeaderField &field) {
-        bool reserved = !m_dialect.reservedPrefix.empty()
-            && startsWith(field.name, m_dialect.reservedPrefix);
+        bool reserved =
+            !m_dialect.reservedPrefix.empty() && startsWith(field.name, m_dialect.reservedPrefix);
         return reserved || (!key.empty() && field.value.find(key) != std::string::npos);
     });
 }
@@ -120,9 +120,9 @@
 {
     if (!m_policy.isReady())
         return notRun(ErrorKind::NodeNotReady, "the node has no policy yet");
-    auto found = std::visit(
-        [&](const auto &naming) { return findRoute(std::move(request), naming); },
-        m_dialect.routeNaming);
+    auto found =
+        std::visit([&](const auto &naming) { return findRoute(std::move(request), naming); },
+                   m_dialect.routeNaming);
     if (Entered *entered = std::get_if<Entered>(&found)) {
         entered->idempotencyKey = entered->request.header(headers::idempotencyKey);
         entered->firstAttempt = entered->request.header(headers::attempt) == "1";
--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -105,8 +105,8 @@
 
 Datagram Membership::frame(GossipBody body)
 {
-    return {m_self.node,     m_self.endpoint, m_policyVersion, takeNews(),
-            std::move(body), m_zonesRevision};
+    return {m_self.node, m_self.endpoint, m_policyVersion,
+            takeNews(),  std::move(body), m_zonesRevision};
 }
 
 void Membership::mergeSelf(const Member &news)
--- a/src/decisions/policy_store.cpp
+++ b/src/decisions/policy_store.cpp
@@ -89,7 +89,8 @@
 
 bool PolicyStore::isZoneOut(std::string_view zone) const
 {
-    bool ordered = std::find(m_zones.zones.begin(), m_zones.zones.end(), zone) != m_zones.zones.end();
+    bool ordered =
+        std::find(m_zones.zones.begin(), m_zones.zones.end(), zone) != m_zones.zones.end();
     return ordered || m_policy.isZoneOut(zone);
 }
 
--- a/src/decisions/ranked_holders.cpp
+++ b/src/decisions/ranked_holders.cpp
@@ -72,9 +72,8 @@
     if (found == m_held.end())
         return std::nullopt;
     const Held &held = found->second;
-    bool asked = std::any_of(held.askedBy.begin(), held.askedBy.end(), [&](const auto &item) {
-        return now - item.second <= askKept;
-    });
+    bool asked = std::any_of(held.askedBy.begin(), held.askedBy.end(),
+                             [&](const auto &item) { return now - item.second <= askKept; });
     return asked ? std::optional(held.since) : std::nullopt;
 }
 
@@ -93,9 +92,8 @@
     auto found = m_held.find(share);
     if (found == m_held.end())
         return 0;
-    auto heard = std::count_if(
-        found->second.askedBy.begin(), found->second.askedBy.end(),
-        [&](const auto &item) { return now - item.second <= askKept; });
+    auto heard = std::count_if(found->second.askedBy.begin(), found->second.askedBy.end(),
+                               [&](const auto &item) { return now - item.second <= askKept; });
     return std::min(1.0, static_cast<double>(heard) / static_cast<double>(known(now, present)));
 }
 
--- a/src/decisions/retry_policy.cpp
+++ b/src/decisions/retry_policy.cpp
@@ -11,6 +11,8 @@
 /** The calls that a retried request makes count as retries too, at each level below. */
 constexpr double ownPartOfRatio = 0.25;
 constexpr double reserveWithSlack = 2; // retries that a node may save up
+/** When all targets of a service are full, further choices only add load to their nodes. */
+constexpr int mostSendsToFullTargets = 2;
 constexpr int mostSends = 6; // of one call, free choices included
 constexpr Duration shortestTimeForRetry = 2ms;
 
@@ -53,9 +55,13 @@
         return GiveUp {"too many targets tried"};
     if (attempt.timeLeft < shortestTimeForRetry)
         return GiveUp {"no time left"};
-    bool mayReachMore = attempt.maximumTargets == 0 || attempt.targetsReached < attempt.maximumTargets;
+    bool mayReachMore =
+        attempt.maximumTargets == 0 || attempt.targetsReached < attempt.maximumTargets;
     if (!mayReachMore)
         return GiveUp {"the route allows no further target"};
+    bool full = attempt.refusal.kind == ErrorKind::QueueFull;
+    if (full && attempt.sends >= mostSendsToFullTargets)
+        return GiveUp {"the targets tried are full"};
     if (answer.rechoice == Rechoice::Free && certainlyNotRun)
         return ChooseAgain {};
     if (attempt.retriesLeft <= 0)
--- a/src/decisions/target_gate.cpp
+++ b/src/decisions/target_gate.cpp
@@ -19,8 +19,7 @@
         return ReportOutcome::OtherService;
     if (isStale(report))
         return ReportOutcome::Stale;
-    bool sameStart =
-        report.instance == m_instance && report.startedAtMs == m_startedAtMs;
+    bool sameStart = report.instance == m_instance && report.startedAtMs == m_startedAtMs;
     bool leavesForGood = sameStart && m_state == State::Leaving;
     State before = m_state;
     m_instance = report.instance;
--- a/src/transport/call_path.cpp
+++ b/src/transport/call_path.cpp
@@ -162,9 +162,13 @@
 
 Task<bool> CallPath::retry(Attempt &attempt, const RouteChoice &choice, const Refusal &refusal)
 {
-    FailedAttempt failed {refusal, attempt.entered.route.idempotent, attempt.sends,
-                          attempt.retriesLeft, attempt.deadline - steadyNow(),
-                          attempt.entered.service, attempt.targetsReached,
+    FailedAttempt failed {refusal,
+                          attempt.entered.route.idempotent,
+                          attempt.sends,
+                          attempt.retriesLeft,
+                          attempt.deadline - steadyNow(),
+                          attempt.entered.service,
+                          attempt.targetsReached,
                           attempt.entered.route.maximumTargets};
     bool reachedTarget = refusal.execution != Execution::NotRun
         || answerFor(refusal.kind).rechoice == Rechoice::FromBudget;
--- a/src/transport/front.cpp
+++ b/src/transport/front.cpp
@@ -152,8 +152,7 @@
     Refusal &refusal = std::get<Refusal>(result);
     Duration timeLeft = entered ? entered->context.timeLeft : usualTimeLeft;
     if (refusal.execution == Execution::NotRun)
-        refusal.retryAfter =
-            returnAfter(refusal, timeLeft - (steadyNow() - start), m_node.random);
+        refusal.retryAfter = returnAfter(refusal, timeLeft - (steadyNow() - start), m_node.random);
     m_metrics.refused(refusal.kind, team, priority);
     m_decisions.note(requestId, "refuse",
                      {{"team", team},
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -165,7 +165,8 @@
     session.busy = true;
     std::optional<SocketDeadline> slow;
     slow.emplace(session.socket, limits.slowClient);
-    auto [error, bytes] = co_await http::async_read_header(session.socket, buffer, parser, asResult);
+    auto [error, bytes] =
+        co_await http::async_read_header(session.socket, buffer, parser, asResult);
     bool unknownCoding = !error && hasUnknownCoding(parser);
     if (!error && !unknownCoding && !parser.is_done()) {
         auto [bodyError, bodyBytes] =
--- a/src/transport/peer_connection.cpp
+++ b/src/transport/peer_connection.cpp
@@ -55,8 +55,8 @@
 {
     while (!bytes.empty()) {
         SocketDeadline deadline(m_socket, silence);
-        auto [ec, count] = co_await m_socket.async_write_some(
-            asio::buffer(bytes.data(), bytes.size()), asResult);
+        auto [ec, count] =
+            co_await m_socket.async_write_some(asio::buffer(bytes.data(), bytes.size()), asResult);
         if (ec) {
             bool silent = deadline.hasPassed();
             m_lastError = Error {ErrorKind::ConnectionLost,
--- a/src/transport/peer_connection.h
+++ b/src/transport/peer_connection.h
@@ -25,7 +25,8 @@
      */
     Task<std::optional<PeerMessage>> receive(std::optional<Duration> silence);
 
-    /** Whether it may not be used again: closed by the peer, or with bytes that nobody asked for. */
+    /** Whether it may not be used again: closed by the peer, or with bytes that nobody asked for.
+     */
     bool isSpoiled();
 
     tcp::socket &socket() { return m_socket; }
--- a/src/transport/peer_server.cpp
+++ b/src/transport/peer_server.cpp
@@ -78,8 +78,7 @@
     if (const RosterRequest *roster = std::get_if<RosterRequest>(&message)) {
         m_gossip.onMembers({roster->asking});
         reply = RosterAnswer {m_membership.roster()};
-    }
-    else if (const PolicyPull *pull = std::get_if<PolicyPull>(&message))
+    } else if (const PolicyPull *pull = std::get_if<PolicyPull>(&message))
         reply = m_policy.answerPull(*pull);
     else if (const KeyClaim *claim = std::get_if<KeyClaim>(&message); claim && m_keys)
         reply = m_keys->claimHere(*claim);
--- a/src/transport/rate_service.cpp
+++ b/src/transport/rate_service.cpp
@@ -78,8 +78,7 @@
     TimePoint now = steadyNow();
     const TeamPolicy &policy = m_policy.policy().team(team);
     double part = ranked->holders.partAlone(now, m_membership.present().size());
-    bool spent =
-        ranked->alone.spend(now, team, policy.ratePerSecond * part, policy.burst * part);
+    bool spent = ranked->alone.spend(now, team, policy.ratePerSecond * part, policy.burst * part);
     return spent ? std::nullopt : std::optional(std::move(refusal));
 }
 
@@ -218,8 +217,8 @@
 void RateService::onDatagram(const Datagram &datagram)
 {
     if (const TokenAsk *ask = std::get_if<TokenAsk>(&datagram.body)) {
-        m_gossip.send({datagram.senderEndpoint,
-                       m_membership.frame(grantHere(*ask, datagram.sender))});
+        m_gossip.send(
+            {datagram.senderEndpoint, m_membership.frame(grantHere(*ask, datagram.sender))});
     } else if (const TokenGrant *grant = std::get_if<TokenGrant>(&datagram.body)) {
         if (RankedShares *ranked = std::get_if<RankedShares>(&m_holding))
             ranked->holders.onAnswer(datagram.sender);
--- a/src/transport/socket_deadline.cpp
+++ b/src/transport/socket_deadline.cpp
@@ -10,9 +10,8 @@
 
 } // namespace
 
-DeadlineService::Entries::iterator
-DeadlineService::add(TimePoint when, SocketDeadline *deadline,
-                     const tcp::socket::executor_type &executor)
+DeadlineService::Entries::iterator DeadlineService::add(TimePoint when, SocketDeadline *deadline,
+                                                        const tcp::socket::executor_type &executor)
 {
     if (!m_sweeping) {
         m_sweeping = true;
--- a/src/transport/store_sync.h
+++ b/src/transport/store_sync.h
@@ -43,8 +43,7 @@
     Task<bool> joinListed(Freshness freshness);
     void applyPolicy(const std::vector<StoredObject> &objects, bool isWhole,
                      std::uint64_t revision);
-    void applyZones(const std::vector<StoredObject> &objects, bool isWhole,
-                    std::uint64_t revision);
+    void applyZones(const std::vector<StoredObject> &objects, bool isWhole, std::uint64_t revision);
 
     NodeState &m_node;
     PolicyStore &m_policy;
--- a/src/transport/target_service.cpp
+++ b/src/transport/target_service.cpp
@@ -210,7 +210,8 @@
     WorkOutcome outcome = outcomeOf(result);
     slot.finish({outcome, slotTime, ended.waitedBelow,
                  ended.callsBelow > 0 && outcome == WorkOutcome::Shed});
-    bool toldByStatus = std::holds_alternative<HttpAnswer>(result) && m_dialect.names.notExecuted.empty();
+    bool toldByStatus =
+        std::holds_alternative<HttpAnswer>(result) && m_dialect.names.notExecuted.empty();
     bool ownShedding = outcome == WorkOutcome::Shed && ended.callsBelow == 0;
     if (ownShedding && toldByStatus)
         result = Refusal {ErrorKind::BackendShed, "the backend server shed the request",
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -173,3 +173,30 @@
     fleet.run(5s);
     CHECK(fleet.node("n6").holderOf(7) == nullptr);
 }
+
+TEST_CASE("nodes whose targets take no work yet still tell each other of all that happens")
+{
+    // As when all nodes start together, and no backend server has reported.
+    Random random(9);
+    Member first;
+    first.node = "one";
+    first.endpoint = {"127.0.0.1", 1};
+    first.takesWork = false;
+    Member second = first;
+    second.node = "two";
+    second.endpoint.port = 2;
+    Membership one(first);
+    Membership two(second);
+    one.onRoster(TimePoint {1s}, {second});
+    two.onRoster(TimePoint {1s}, {first});
+    bool told = false;
+    for (const MembershipEffect &effect : one.announceWork(true, random)) {
+        if (const SendDatagram *send = std::get_if<SendDatagram>(&effect)) {
+            two.onDatagram(TimePoint {2s}, send->datagram);
+            told = true;
+        }
+    }
+    CHECK(told);
+    REQUIRE(two.find("one"));
+    CHECK(two.find("one")->takesWork);
+}
--- /dev/null
+++ b/tests/platform/format_test.cpp
@@ -0,0 +1,175 @@
+#include "dialect.h"
+#include "policy_format.h"
+#include "site_settings.h"
+#include "store_format.h"
+#include "target_reports.h"
+
+#include "ibiswell/policy/object_reader.h"
+#include "ibiswell/policy/policy.h"
+
+#include <doctest/doctest.h>
+
+using namespace ibiswell;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string config = R"({"version": "0000000c",
+    "services": [{"name": "shop", "health-path": "/healthz", "max-connections": 940,
+                  "cold-per-s": 30.0, "slow-start-s": 3.0, "protocol": "h1", "tls": false}],
+    "limits": {"max-header-bytes": 16384, "max-body-bytes": 67108864, "header-timeout-s": 3,
+               "idle-timeout-s": 15},
+    "tenants": [{"name": "club", "api-keys": ["k1", "k2"], "priority": 1, "rate-per-s": 203,
+                 "burst": 203}, {"name": "free", "api-keys": ["k3"]}],
+    "virtual-hosts": [{"host": "a.example", "paths": [
+        {"name": "browse", "path-prefix": "/x/", "kind": "safe", "timeout-s": 5, "aim-s": 1.2,
+         "priority": 2, "max-attempts": 2, "public": false,
+         "traffic-split": [{"service": "shop", "weight": 90}, {"service": "desk", "weight": 10}]},
+        {"name": "order", "path-prefix": "/y/", "kind": "unsafe", "timeout-s": 5, "priority": 0,
+         "service": "desk", "max-attempts": 2, "public": true}]}]})";
+
+std::optional<Policy> policyOf(const std::string &text, Error &error)
+{
+    auto value = parseJson(text, ErrorKind::InvalidPolicy, error);
+    auto document = value ? platform::policyFrom(*value, error) : std::nullopt;
+    return document ? compilePolicy(*document, error) : std::nullopt;
+}
+
+TargetReport reportIn(const std::string &path, const std::string &body)
+{
+    auto message = platform::readTargetCall({"POST", path, {}, body});
+    REQUIRE(std::holds_alternative<TargetReport>(message));
+    return std::get<TargetReport>(message);
+}
+
+} // namespace
+
+TEST_CASE("a configuration becomes a policy of the product")
+{
+    Error error;
+    auto policy = policyOf(config, error);
+    REQUIRE_MESSAGE(policy, error.detail);
+    CHECK(policy->version == 12);
+    const RoutePolicy *browse = policy->findRouteByHost("a.example", "/x/1");
+    REQUIRE(browse);
+    CHECK(browse->idempotent);
+    CHECK_FALSE(browse->open);
+    CHECK(browse->timeout == 5s);
+    CHECK(browse->aim == 1200ms);
+    CHECK(browse->maximumTargets == 2);
+    CHECK((browse->priority == PriorityClass::Normal));
+    CHECK(browse->split.size() == 2);
+    const RoutePolicy *order = policy->findRouteByHost("a.example", "/y/1");
+    REQUIRE(order);
+    CHECK_FALSE(order->idempotent);
+    CHECK(order->open);
+    CHECK((order->priority == PriorityClass::Critical));
+    REQUIRE(policy->teamOfKey("k2"));
+    CHECK(*policy->teamOfKey("k2") == "club");
+    CHECK(policy->team("club").ratePerSecond == 203);
+    CHECK((policy->team("club").priority == PriorityClass::Important));
+    CHECK(policy->team("free").unlimited);
+    CHECK(policy->services.at("shop").coldStartsPerSecond == 30);
+    REQUIRE(policy->limits);
+    CHECK(policy->limits->idleConnection == 15s);
+}
+
+TEST_CASE("a configuration that cannot be read names its fields")
+{
+    Error error;
+    CHECK_FALSE(policyOf(R"({"version": "zz", "virtual-hosts": [{"paths": []}]})", error));
+    CHECK(error.detail.find("config.version") != std::string::npos);
+    CHECK(error.detail.find("host") != std::string::npos);
+}
+
+TEST_CASE("a heartbeat is read with what may be left out, and a bad one names its fault")
+{
+    TargetReport report = reportIn("/api/instances/i-7/heartbeat", R"({"address": "10.0.0.9:80",
+        "info": {"service": "shop", "version": "v1", "zone": "a", "slots": 140}, "born": 1782,
+        "status": {"state": "ready", "seq": 4, "warmup-left-s": 2.5}})");
+    CHECK(report.instance == "i-7");
+    CHECK(report.service == "shop");
+    CHECK(report.slots == 140);
+    CHECK(report.sequence == 4);
+    CHECK(report.startedAtMs == 1782);
+    CHECK(report.warmupLeft == 2500ms);
+    CHECK_FALSE(report.draining);
+    for (const char *bad : {"", "{", R"({"info": {}})",
+                            R"({"info": {"service": "shop", "slots": "many"},
+                                "status": {"state": "ready", "seq": 1}})",
+                            R"({"info": {"service": "shop", "slots": 2},
+                                "status": {"state": "odd", "seq": 1}})"}) {
+        auto message = platform::readTargetCall({"POST", "/api/instances/i-7/heartbeat", {}, bad});
+        CHECK(std::holds_alternative<Error>(message));
+    }
+    auto leave = platform::readTargetCall({"POST", "/api/instances/i-7/deregister", {}, ""});
+    REQUIRE(std::holds_alternative<platform::Departure>(leave));
+    CHECK(std::get<platform::Departure>(leave).instance == "i-7");
+}
+
+TEST_CASE("the statuses that promise are given to requests that did not run, and to no others")
+{
+    Dialect dialect = platform::dialect();
+    for (const ErrorAnswer &row : errorTable()) {
+        Refusal unknown {row.kind, "", Execution::Unknown, 100ms};
+        int status = dialect.writeRefusal(dialect.names, "r", unknown).status;
+        CHECK((status == 502 || status == 504));
+    }
+    Refusal refused {ErrorKind::QueueFull, "", Execution::NotRun, 250ms};
+    HttpAnswer answer = dialect.writeRefusal(dialect.names, "r", refused);
+    CHECK(answer.status == 503);
+    CHECK(answer.header("Retry-After") == "0.250");
+    refused.kind = ErrorKind::RateExceeded;
+    CHECK(dialect.writeRefusal(dialect.names, "r", refused).status == 429);
+    refused.kind = ErrorKind::KeyRejected;
+    CHECK(dialect.writeRefusal(dialect.names, "r", refused).status == 401);
+    refused.kind = ErrorKind::NodeNotReady;
+    CHECK(dialect.writeRefusal(dialect.names, "r", refused).status == 503);
+}
+
+TEST_CASE("the store's answers are told apart, and an unreadable object hides no other")
+{
+    StoreFormat format = platform::storeFormat();
+    HttpAnswer answer {200, {}, R"({"items": [{"metadata": {"name": "a", "revision": 3},
+        "spec": {"x": 1}, "status": null}, {"metadata": 7}, {"metadata": {"name": "b"}}],
+        "more": true, "current-rev": 530})"};
+    StoreReply reply = format.listing(answer);
+    REQUIRE(std::holds_alternative<StoreListing>(reply));
+    const StoreListing &listing = std::get<StoreListing>(reply);
+    CHECK(listing.objects.size() == 2);
+    CHECK(listing.more);
+    CHECK(listing.revision == 530);
+    answer.body = R"({"events": [{"removed": true, "object": {"metadata": {"name": "a"}}}],
+        "current-rev": 533})";
+    reply = format.changes(answer);
+    REQUIRE(std::holds_alternative<StoreChanges>(reply));
+    CHECK(std::get<StoreChanges>(reply).objects.front().removed);
+    answer.status = 410;
+    CHECK(std::holds_alternative<StoreHistoryGone>(format.changes(answer)));
+    answer.status = 409;
+    CHECK(std::holds_alternative<StoreConflict>(format.written(answer)));
+    for (int status : {429, 500, 503}) {
+        answer.status = status;
+        CHECK(std::holds_alternative<Error>(format.changes(answer)));
+    }
+    HttpAnswer garbage {200, {}, "<html>"};
+    CHECK(std::holds_alternative<Error>(format.listing(garbage)));
+}
+
+TEST_CASE("settings of the front name what is missing, and bounds come in any of three forms")
+{
+    Error error;
+    CHECK_FALSE(platform::parseSiteSettings(R"({"readiness": "10.0.0.1"})", error));
+    CHECK(error.detail.find("front.readiness") != std::string::npos);
+    CHECK(error.detail.find("front.reports") != std::string::npos);
+    for (const char *bounds : {R"(["grace-s=4", "strict-revoke=false"])", R"("grace-s=4,ack-s=4")",
+                               R"({"grace-s": 4})"}) {
+        std::string text = std::string(R"({"readiness": "10.0.0.1:1", "reports": "10.0.0.1:2",
+            "bounds": )")
+            + bounds + "}";
+        auto settings = platform::parseSiteSettings(text, error);
+        REQUIRE_MESSAGE(settings, error.detail);
+        CHECK(settings->stopLimit < 4s);
+        CHECK(settings->stopLimit > 3s);
+    }
+}
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -167,3 +167,38 @@
     CHECK(read->document.version == 9);
     CHECK(read->document.entries == stored.document.entries);
 }
+
+TEST_CASE("routes with a host are found by the longest prefix of whole segments")
+{
+    Error error;
+    auto document = parsePolicyDocument(R"({"routes": {
+        "all": {"service": "one", "host": "shop.example", "path": "/"},
+        "part": {"service": "two", "host": "shop.example", "path": "/a/b/"},
+        "other": {"host": "other.example", "path": "/a/",
+                  "split": [{"service": "one", "weight": 90}, {"service": "two", "weight": 10}]}}})",
+                                        error);
+    REQUIRE(document);
+    document->version = 1;
+    auto policy = compilePolicy(*document, error);
+    REQUIRE_MESSAGE(policy, error.detail);
+    REQUIRE(policy->findRouteByHost("shop.example", "/a/b/c?x=/"));
+    CHECK(policy->findRouteByHost("shop.example", "/a/b/c?x=/")->name == "part");
+    CHECK(policy->findRouteByHost("shop.example", "/a/bc")->name == "all");
+    CHECK(policy->findRouteByHost("other.example", "/a/1")->split.size() == 2);
+    CHECK(policy->findRouteByHost("other.example", "/b/1") == nullptr);
+    CHECK(policy->findRouteByHost("unknown.example", "/a/1") == nullptr);
+}
+
+TEST_CASE("zones that the store takes out are adopted by greater revisions only")
+{
+    PolicyStore store;
+    CHECK(store.adoptZones({5, {"a"}}));
+    CHECK(store.isZoneOut("a"));
+    CHECK_FALSE(store.adoptZones({5, {}}));
+    CHECK_FALSE(store.adoptZones({4, {}}));
+    CHECK(store.isZoneOut("a"));
+    CHECK(store.answerPull({0, 4}).zones.zones.size() == 1);
+    CHECK(store.answerPull({0, 5}).zones.revision == 0);
+    CHECK(store.adoptZones({7, {}}));
+    CHECK_FALSE(store.isZoneOut("a"));
+}
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -183,3 +183,21 @@
     CHECK(eventually(
         [&] { return deployment.log(1).find("outcome=cancelled") != std::string::npos; }));
 }
+
+TEST_CASE("a body in an unknown transfer coding is refused, and never taken for a request")
+{
+    Deployment deployment(18700);
+    startUsual(deployment);
+    const std::string smuggled = "GET /catalogue/tiles HTTP/1.1\r\nhost: a\r\n"
+                                 "x-request-id: smuggled-1\r\n\r\n";
+    for (const char *coding : {"xchunked", "chunked, identity", "gzip"}) {
+        std::string answer = sendRaw(deployment.httpPort(0),
+                                     fmt::format("POST /catalogue/tiles HTTP/1.1\r\nhost: a\r\n"
+                                                 "transfer-encoding: {}\r\n\r\n{}",
+                                                 coding, smuggled));
+        bool refused = answer.starts_with("HTTP/1.1 501") || answer.starts_with("HTTP/1.1 400");
+        CHECK_MESSAGE(refused, coding << ": " << answer.substr(0, 60));
+        CHECK(answer.find("HTTP/1.1 200") == std::string::npos);
+    }
+    CHECK(deployment.executionsEverywhere("smuggled-1") == 0);
+}
--- a/tests/retry_policy_test.cpp
+++ b/tests/retry_policy_test.cpp
@@ -56,3 +56,46 @@
         policy.onFirstAttempt();
     CHECK(std::holds_alternative<RetryCall>(policy.decide(lookup)));
 }
+
+TEST_CASE("a request reaches no more targets than its route allows")
+{
+    RetryPolicy policy;
+    FailedAttempt lookup = attemptWith(ErrorKind::ConnectionLost, Execution::Unknown, true);
+    lookup.maximumTargets = 2;
+    lookup.targetsReached = 1;
+    CHECK(std::holds_alternative<RetryCall>(policy.decide(lookup)));
+    lookup.targetsReached = 2;
+    CHECK(std::holds_alternative<GiveUp>(policy.decide(lookup)));
+}
+
+TEST_CASE("the retries of one service do not spend the allowance of another")
+{
+    RetryPolicy policy({0.1, 2, 1});
+    FailedAttempt lookup = attemptWith(ErrorKind::ConnectionLost, Execution::Unknown, true);
+    lookup.service = "stock";
+    CHECK(std::holds_alternative<RetryCall>(policy.decide(lookup)));
+    CHECK(std::holds_alternative<GiveUp>(policy.decide(lookup)));
+    lookup.service = "ledger";
+    CHECK(std::holds_alternative<RetryCall>(policy.decide(lookup)));
+}
+
+TEST_CASE("nodes without any message between them stay within the fleet's retry budget")
+{
+    // Load: each first attempt fails at 18 nodes and wants a retry, for ten seconds.
+    const FleetRetryBudget budget {0.2, 49};
+    int firstAttempts = 0;
+    int retries = 0;
+    for (int node = 0; node < 18; ++node) {
+        RetryPolicy policy(retryAllowance(budget));
+        for (int i = 0; i < 200; ++i) {
+            policy.onFirstAttempt("stock");
+            ++firstAttempts;
+            FailedAttempt failed = attemptWith(ErrorKind::ConnectionLost, Execution::Unknown, true);
+            failed.service = "stock";
+            retries += std::holds_alternative<RetryCall>(policy.decide(failed)) ? 1 : 0;
+        }
+    }
+    CHECK(retries > 0);
+    // Calls of retried work count too, at up to four levels.
+    CHECK(retries <= budget.ratio / 4 * firstAttempts + budget.slack);
+}
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -105,3 +105,40 @@
     REQUIRE(router.lastError());
     CHECK(router.lastError()->detail == "no target of service \"stock\" is known");
 }
+
+TEST_CASE("a zone's demand stays in the zone while its targets have room, and leaves it when not")
+{
+    // Load: usual at first, then the target of the own zone is full.
+    Router router("a", 1500us);
+    std::vector<std::string> zones {"a", "b", "c", "d"};
+    LoadReport usual {1, 10, 0, 100, 20ms};
+    for (const std::string &zone : zones) {
+        router.onMember(memberOf("target-" + zone, zone));
+        router.onAnswer(TimePoint {1s}, "target-" + zone, usual, false);
+    }
+    RouteQuery query {"stock", {}, nullptr};
+    auto counts = chooseMany(router, TimePoint {1s}, query);
+    CHECK(counts["target-a"] == 300);
+    LoadReport full {1, 100, 60, 100, 20ms};
+    router.onAnswer(TimePoint {1s}, "target-a", full, false);
+    counts = chooseMany(router, TimePoint {1s}, query);
+    // Draws are random, so that nodes with the same news do not all run to the same target.
+    CHECK(counts["target-a"] <= 300 / 20);
+}
+
+TEST_CASE("a node lives on without its target: no call goes there, and the target's return does")
+{
+    Router router("a", 1ms);
+    Member member = memberOf("one", "a");
+    router.onMember(member);
+    member.takesWork = false;
+    ++member.incarnation;
+    router.onMember(member);
+    RouteQuery query {"stock", {}, nullptr};
+    Random random(1);
+    CHECK_FALSE(router.choose(TimePoint {1s}, query, random));
+    member.takesWork = true;
+    ++member.incarnation;
+    router.onMember(member);
+    CHECK(router.choose(TimePoint {1s}, query, random));
+}
--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -231,8 +231,9 @@
     asio::io_context context;
     std::uint16_t port = given.port;
     Backend backend(context, std::move(given));
-    HttpServer server(context, [] { return CallerLimits {}; },
-                      [&](HttpRequest request) { return backend.handle(std::move(request)); });
+    HttpServer server(
+        context, [] { return CallerLimits {}; },
+        [&](HttpRequest request) { return backend.handle(std::move(request)); });
     if (!server.listen({"127.0.0.1", port})) {
         fmt::print(stderr, "{}\n", server.lastError()->detail);
         return 1;
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -179,8 +179,9 @@
     std::signal(SIGPIPE, SIG_IGN);
     asio::io_context context;
     Platform platform(context);
-    HttpServer server(context, [] { return CallerLimits {}; },
-                      [&](HttpRequest request) { return platform.handle(std::move(request)); });
+    HttpServer server(
+        context, [] { return CallerLimits {}; },
+        [&](HttpRequest request) { return platform.handle(std::move(request)); });
     if (!server.listen({"127.0.0.1", port})) {
         fmt::print(stderr, "{}\n", server.lastError()->detail);
         return 1;
--- /dev/null
+++ b/tests/standins/store_standin.cpp
@@ -0,0 +1,214 @@
+/**
+ * Stand-in for the users' object store: lists, watches, revisions and conditional creation, with
+ * scripted faults.
+ *
+ * POST /faults   {"mode": "" | "busy" | "many" | "silent", "lose_writes": N, "forget": true}
+ */
+
+#include "http_server.h"
+
+#include "ibiswell/policy/object_reader.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/program_options.hpp>
+#include <fmt/format.h>
+
+#include <charconv>
+#include <csignal>
+#include <deque>
+#include <map>
+
+namespace ibiswell {
+
+namespace {
+
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+constexpr std::string_view objectsPath = "/api/objects/";
+constexpr Duration silence = 60s; // longer than any client waits
+
+std::uint64_t numberAfter(std::string_view text, std::string_view name)
+{
+    std::size_t at = text.find(name);
+    std::uint64_t number = 0;
+    if (at != std::string_view::npos)
+        std::from_chars(text.data() + at + name.size(), text.data() + text.size(), number);
+    return number;
+}
+
+HttpAnswer answerOf(int status, const json::value &body = json::object())
+{
+    return {status, {{"content-type", "application/json"}}, json::serialize(body)};
+}
+
+class Store
+{
+public:
+    explicit Store(asio::io_context &context)
+        : m_changed(context, std::chrono::steady_clock::time_point::max())
+    {
+    }
+
+    Task<HttpAnswer> handle(HttpRequest request)
+    {
+        if (request.path == "/faults")
+            co_return setFaults(request.body);
+        if (m_mode == "busy")
+            co_return answerOf(503);
+        if (m_mode == "many")
+            co_return answerOf(429);
+        if (m_mode == "silent")
+            co_await sleepFor(silence);
+        if (!request.path.starts_with(objectsPath))
+            co_return answerOf(404);
+        std::string rest = request.path.substr(objectsPath.size());
+        std::string query = rest.find('?') == std::string::npos ? "" : rest.substr(rest.find('?'));
+        std::string path = rest.substr(0, rest.find('?'));
+        std::string kind = path.substr(0, path.find('/'));
+        std::string name = path.size() > kind.size() ? path.substr(kind.size() + 1) : "";
+        if (request.method != "GET") {
+            HttpAnswer answer = write(request, kind, name);
+            if (m_loseWrites > 0 && --m_loseWrites >= 0)
+                co_await sleepFor(silence);
+            co_return answer;
+        }
+        if (query.find("watch=") == std::string::npos)
+            co_return list(kind);
+        auto wait = std::chrono::milliseconds(numberAfter(query, "wait-ms="));
+        co_return co_await watch(kind, numberAfter(query, "watch="), wait);
+    }
+
+private:
+    struct Change
+    {
+        std::uint64_t revision;
+        std::string kind;
+        json::value event;
+    };
+
+    HttpAnswer setFaults(const std::string &text)
+    {
+        Error error;
+        auto value = parseJson(text, ErrorKind::BadRequest, error);
+        if (!value)
+            return answerOf(400);
+        FaultList faults;
+        ObjectReader reader(*value, "", faults);
+        bool forget = false;
+        reader.text("mode", m_mode);
+        reader.integer("lose_writes", {0, 1000}, m_loseWrites);
+        reader.boolean("forget", forget);
+        if (forget) {
+            m_changes.clear();
+            m_forgottenUntil = m_revision;
+            m_changed.cancel();
+        }
+        return answerOf(faults.isEmpty() ? 200 : 400);
+    }
+
+    HttpAnswer write(const HttpRequest &request, const std::string &kind, std::string name)
+    {
+        if (request.method == "DELETE") {
+            auto found = m_kinds[kind].find(name);
+            if (found == m_kinds[kind].end())
+                return answerOf(404);
+            json::value object = found->second;
+            m_kinds[kind].erase(found);
+            note(kind, object, true);
+            return answerOf(200, object);
+        }
+        Error error;
+        auto body = parseJson(request.body, ErrorKind::BadRequest, error);
+        if (!body || !body->is_object())
+            return answerOf(400);
+        if (name.empty())
+            name = std::string(body->at("metadata").at("name").as_string());
+        bool exists = m_kinds[kind].contains(name);
+        if (request.method == "POST" && exists)
+            return answerOf(409, m_kinds[kind][name]);
+        if (request.method == "PUT" && !exists)
+            return answerOf(404);
+        json::object object {
+            {"metadata", json::object {{"name", name}, {"revision", m_revision + 1}}},
+            {"spec", body->as_object()["spec"]},
+            {"status", nullptr}};
+        m_kinds[kind][name] = object;
+        note(kind, object, false);
+        return answerOf(200, object);
+    }
+
+    void note(const std::string &kind, const json::value &object, bool removed)
+    {
+        ++m_revision;
+        m_changes.push_back(
+            {m_revision, kind, json::object {{"removed", removed}, {"object", object}}});
+        m_changed.cancel();
+    }
+
+    HttpAnswer list(const std::string &kind)
+    {
+        json::array items;
+        for (const auto &[name, object] : m_kinds[kind])
+            items.push_back(object);
+        return answerOf(
+            200, json::object {{"items", items}, {"more", false}, {"current-rev", m_revision}});
+    }
+
+    Task<HttpAnswer> watch(std::string kind, std::uint64_t after, Duration wait)
+    {
+        TimePoint end = steadyNow() + wait;
+        for (;;) {
+            if (after < m_forgottenUntil)
+                co_return answerOf(410);
+            json::array events;
+            for (const Change &change : m_changes) {
+                if (change.revision > after && change.kind == kind)
+                    events.push_back(change.event);
+            }
+            if (!events.empty() || steadyNow() >= end || m_mode == "busy")
+                co_return answerOf(200,
+                                   json::object {{"events", events}, {"current-rev", m_revision}});
+            auto woken = m_changed.async_wait(asResult);
+            co_await withTimeout(std::move(woken), std::min<Duration>(end - steadyNow(), 100ms));
+        }
+    }
+
+    std::map<std::string, std::map<std::string, json::value>> m_kinds;
+    std::deque<Change> m_changes;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_forgottenUntil = 0;
+    std::string m_mode;
+    int m_loseWrites = 0;
+    asio::steady_timer m_changed;
+};
+
+} // namespace
+
+} // namespace ibiswell
+
+int main(int argc, char **argv)
+{
+    using namespace ibiswell;
+    namespace po = boost::program_options;
+    std::uint16_t port = 0;
+    po::options_description options("Options");
+    options.add_options()("port", po::value(&port)->required(), "TCP port on loopback");
+    po::variables_map given;
+    po::store(po::parse_command_line(argc, argv, options), given);
+    po::notify(given);
+    std::signal(SIGPIPE, SIG_IGN);
+    asio::io_context context;
+    Store store(context);
+    HttpServer server(
+        context, [] { return CallerLimits {}; },
+        [&](HttpRequest request) { return store.handle(std::move(request)); });
+    if (!server.listen({"127.0.0.1", port})) {
+        fmt::print(stderr, "{}\n", server.lastError()->detail);
+        return 1;
+    }
+    context.run();
+    return 0;
+}
--- /dev/null
+++ b/tests/standins/target_standin.cpp
@@ -0,0 +1,159 @@
+/**
+ * Stand-in for a target of the users' platform: reports to the node beside it, answers requests
+ * with a signature and echoes their ids, counts what it ran, and calls another service on demand.
+ *
+ * GET /ran?ID            how often a request ran here
+ * POST /say {"state": "ready" | "draining", "report": false, "lose": N, "shed": N}
+ *                        what to report next, whether to, answers to lose, requests to reject
+ */
+
+#include "http_client.h"
+#include "http_server.h"
+
+#include "ibiswell/policy/object_reader.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/program_options.hpp>
+#include <fmt/format.h>
+
+#include <csignal>
+#include <map>
+
+namespace ibiswell {
+
+namespace {
+
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+constexpr Duration reportInterval = 200ms;
+constexpr Duration reportLimit = 1s;
+constexpr Duration workTime = 5ms;
+
+struct Options
+{
+    std::uint16_t port = 0;
+    std::uint16_t nodePort = 0; ///< Where the node takes reports.
+    std::string instance;
+    std::string service;
+    int slots = 20;
+};
+
+class Target
+{
+public:
+    Target(asio::io_context &context, Options options)
+        : m_options(std::move(options))
+        , m_node({"127.0.0.1", m_options.nodePort})
+    {
+        auto now = std::chrono::system_clock::now().time_since_epoch();
+        m_born = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+        asio::co_spawn(context, reportLoop(), asio::detached);
+    }
+
+    Task<HttpAnswer> handle(HttpRequest request)
+    {
+        if (request.path == "/say")
+            co_return say(request.body);
+        if (request.path.starts_with("/ran?"))
+            co_return HttpAnswer {200, {}, std::to_string(m_ran[request.path.substr(5)])};
+        std::string id {request.header("Attempt-Id")};
+        if (request.header("Expected-Instance") != m_options.instance)
+            co_return HttpAnswer {421, {{"Instance-Id", m_options.instance}}, {}};
+        if (m_shed > 0 && m_shed-- > 0)
+            co_return HttpAnswer {503, {{"Not-Executed", "1"}}, {}};
+        ++m_ran[id];
+        co_await sleepFor(workTime);
+        if (m_lose > 0 && m_lose-- > 0)
+            co_await sleepFor(60s);
+        json::object seen {{"instance", m_options.instance},
+                           {"path", request.path},
+                           {"host", std::string(request.header("Host"))},
+                           {"tenant", std::string(request.header("Tenant"))},
+                           {"caller", std::string(request.header("Caller-Service"))},
+                           {"key", std::string(request.header("Credential"))},
+                           {"body", request.body}};
+        co_return HttpAnswer {
+            200, {{"Attempt-Id", id}, {"Response-Signature", "sig-" + id}}, json::serialize(seen)};
+    }
+
+private:
+    HttpAnswer say(const std::string &text)
+    {
+        Error error;
+        auto value = parseJson(text, ErrorKind::BadRequest, error);
+        if (!value)
+            return {400, {}, error.detail};
+        FaultList faults;
+        ObjectReader reader(*value, "", faults);
+        reader.text("state", m_state);
+        reader.boolean("report", m_reports);
+        reader.integer("lose", {0, 1000}, m_lose);
+        reader.integer("shed", {0, 1000}, m_shed);
+        return {faults.isEmpty() ? 200 : 400, {}, faults.text()};
+    }
+
+    Task<void> reportLoop()
+    {
+        for (;;) {
+            if (m_reports) {
+                json::object report {
+                    {"address", fmt::format("127.0.0.1:{}", m_options.port)},
+                    {"born", m_born},
+                    {"info",
+                     json::object {{"service", m_options.service}, {"slots", m_options.slots}}},
+                    {"status", json::object {{"state", m_state}, {"seq", ++m_sequence}}}};
+                HttpRequest call {"POST",
+                                  fmt::format("/api/instances/{}/heartbeat", m_options.instance),
+                                  {{"content-type", "application/json"}},
+                                  json::serialize(report)};
+                CallResult result = co_await m_node.exchange(std::move(call), reportLimit);
+                static_cast<void>(result); // the next report follows in any case
+            }
+            co_await sleepFor(reportInterval);
+        }
+    }
+
+    Options m_options;
+    HttpClient m_node;
+    std::int64_t m_born = 0;
+    std::uint64_t m_sequence = 0;
+    std::string m_state = "ready";
+    bool m_reports = true;
+    int m_lose = 0;
+    int m_shed = 0;
+    std::map<std::string, int> m_ran;
+};
+
+} // namespace
+
+} // namespace ibiswell
+
+int main(int argc, char **argv)
+{
+    using namespace ibiswell;
+    namespace po = boost::program_options;
+    Options given;
+    po::options_description options("Options");
+    options.add_options()("port", po::value(&given.port)->required(), "TCP port on loopback")(
+        "node", po::value(&given.nodePort)->required(),
+        "port of the node's reports")("instance", po::value(&given.instance)->required(), "id")(
+        "service", po::value(&given.service)->required(), "name of the service");
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, options), values);
+    po::notify(values);
+    std::signal(SIGPIPE, SIG_IGN);
+    asio::io_context context;
+    std::uint16_t port = given.port;
+    Target target(context, std::move(given));
+    HttpServer server(
+        context, [] { return CallerLimits {}; },
+        [&](HttpRequest request) { return target.handle(std::move(request)); });
+    if (!server.listen({"127.0.0.1", port})) {
+        fmt::print(stderr, "{}\n", server.lastError()->detail);
+        return 1;
+    }
+    context.run();
+    return 0;
+}
