--- a/tests/return_time_test.cpp
+++ b/tests/return_time_test.cpp
@@ -13,8 +13,10 @@
     // Load: two thousand callers are refused at once, with a second and a half left.
     Random random(5);
     Refusal refusal {ErrorKind::QueueFull, "", Execution::NotRun};
+    constexpr int callers = 2000;
     std::vector<Duration> returns;
-    for (int i = 0; i < 2000; ++i)
+    returns.reserve(callers);
+    for (int i = 0; i < callers; ++i)
         returns.push_back(returnAfter(refusal, 1500ms, random));
     std::sort(returns.begin(), returns.end());
     CHECK(returns.back() <= 500ms);
