--- a/src/transport/call_path.h
+++ b/src/transport/call_path.h
@@ -23,7 +23,7 @@
     CallResult result;
     double pathFraction = 1;
     std::uint8_t retriesLeft = 0;
-    std::string target; ///< Node of the last target; empty when none was found.
+    std::string target {}; ///< Node of the last target; empty when none was found.
     int sends = 0;
 };
 
--- a/src/transport/node_state.h
+++ b/src/transport/node_state.h
@@ -14,7 +14,7 @@
     NodeSettings settings;
     std::string start; ///< Differs between starts of one node.
     Random random;
-    bool joined = false; ///< The other nodes were looked up, or there was time to.
+    bool joined = false; ///< The nodes that the store lists were looked up once.
     bool stopping = false; ///< A planned stop is under way.
     bool backendLeaving = false; ///< The backend server drains or cannot be reached.
     std::uint64_t nextId = 1;
