--- a/src/transport/front.h
+++ b/src/transport/front.h
@@ -34,7 +34,6 @@
     void drain() { m_server.drain(); }
     void stop() { m_server.stop(); }
     std::size_t connections() const { return m_server.connections(); }
-    std::size_t busyConnections() const { return m_server.busyConnections(); }
     const std::optional<Error> &lastError() const { return m_server.lastError(); }
 
 private:
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -5,8 +5,6 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
-
 namespace ibiswell {
 
 namespace {
@@ -81,12 +79,6 @@
 {
 }
 
-std::size_t HttpServer::busyConnections() const
-{
-    return static_cast<std::size_t>(std::count_if(
-        m_sessions.begin(), m_sessions.end(), [](const Session &session) { return session.busy; }));
-}
-
 bool HttpServer::listen(const Endpoint &endpoint)
 {
     m_lastError = openAcceptor(m_acceptor, endpoint);
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -35,8 +35,6 @@
     /** Takes no new connection, closes the idle ones and ends the others after their answer. */
     void stop();
     std::size_t connections() const { return m_sessions.size(); }
-    /** Connections whose request is not answered yet. */
-    std::size_t busyConnections() const;
     const std::optional<Error> &lastError() const { return m_lastError; }
 
 private:
--- a/src/transport/object_store.cpp
+++ b/src/transport/object_store.cpp
@@ -44,16 +44,15 @@
 void ObjectStore::noteOutcome(const StoreReply &reply)
 {
     const Error *error = std::get_if<Error>(&reply);
-    if (error && !m_lost)
+    bool answers = !error;
+    if (m_answers == answers)
+        return;
+    m_answers = answers;
+    if (error)
         m_log.write(steadyNow(), LogLevel::Warning, "store-lost", {{"reason", error->detail}});
-    if (!error && (m_lost || !m_answeringSince))
+    else
         m_log.write(steadyNow(), LogLevel::Info, "store-answers",
                     {{"address", toString(m_client.server())}});
-    m_lost = error != nullptr;
-    if (error)
-        m_answeringSince.reset();
-    else if (!m_answeringSince)
-        m_answeringSince = steadyNow();
 }
 
 Task<StoreReply> ObjectStore::list(std::string kind, Freshness freshness)
--- a/src/transport/object_store.h
+++ b/src/transport/object_store.h
@@ -28,8 +28,6 @@
     Task<StoreReply> remove(std::string kind, std::string name);
 
     const StoreFormat &format() const { return m_format; }
-    /** Since when the store answers; nothing while it does not. */
-    std::optional<TimePoint> answeringSince() const { return m_answeringSince; }
 
 private:
     using Reader = StoreReply (*)(const HttpAnswer &answer);
@@ -41,8 +39,8 @@
     HttpClient m_client;
     Log &m_log;
     Metrics &m_metrics;
-    std::optional<TimePoint> m_answeringSince;
-    bool m_lost = false;
+    /** Whether the last call was answered; nothing before the first. */
+    std::optional<bool> m_answers;
 };
 
 } // namespace ibiswell
