Free the slot of a call whose gate closes between its grant and its start

Cause: awaitSlot() refused such a call as if the admission had refused it, so its ticket stayed among the running ones and a slot was lost until the node restarted. Ruled out: a lost wake-up; the admission grants and counts rightly. Change: run() asks the gate after the wait and finishes the ticket as abandoned.

--- a/src/transport/target_service.cpp
+++ b/src/transport/target_service.cpp
@@ -172,6 +172,10 @@
             slot.settled();
             co_return answer(call, *refusal, ended);
         }
+        if (m_gate && !m_gate->isOpen()) {
+            slot.finish({WorkOutcome::Failed, {}, {}, true});
+            co_return answer(call, *m_gate->refusal(), ended);
+        }
         call.context.timeLeft -= steadyNow() - arrivedAt;
     }
     CallResult result = co_await work(call, slot, ended);
@@ -189,8 +193,6 @@
     m_waiters.erase(ticket);
     if (const RefuseCall *refused = std::get_if<RefuseCall>(&verdict))
         co_return notRun(refused->kind, "refused while it waited for a slot");
-    if (m_gate && !m_gate->isOpen())
-        co_return m_gate->refusal();
     co_return std::nullopt;
 }
 
