Weigh all targets of a small service; state a cold target's pace; spread its starts

Cause (replayed in virtual time): of four targets with three cold ones, 42% of the choices never drew the warm one, so that 5% of the calls were refused at two full targets while it stood at half. Trying a target whose report is old, by time: three variants moved the load model's figures below their bounds; reverted for an announcement. Change: up to four targets are all weighed; a paced target reports its pace as its service time; starts at a cold target are spread over the second; a node announces when its target has warmed up, and what was reported before then no longer counts.

--- a/include/ibiswell/decisions/cold_pace.h
+++ b/include/ibiswell/decisions/cold_pace.h
@@ -8,7 +8,8 @@
 
 /**
  * Holds the starts at a cold backend server to what it bears: in each sliding second at most so
- * many. Starts are counted at all times, so that a server that turns cold is not given a second's
+ * many, spread over it, so that callers find a short wait and not an idle server that takes nothing
+ * until its second is over. Starts are counted at all times, so that a server that turns cold is not given a second's
  * worth on top of what it just got.
  */
 class ColdPace
@@ -24,6 +25,7 @@
 
 private:
     void forget(TimePoint now);
+    bool isSpread(TimePoint now) const;
 
     double m_startsPerSecond = 0;
     std::deque<TimePoint> m_starts; ///< Of the last second.
--- a/include/ibiswell/decisions/membership.h
+++ b/include/ibiswell/decisions/membership.h
@@ -45,6 +45,8 @@
 
     /** Announces whether the target beside this node takes work, at once to a few. */
     MembershipEffects announceWork(bool takesWork, Random &random);
+    /** Announces that the load reported by the target here no longer holds, at once to a few. */
+    MembershipEffects announceChange(Random &random);
     /** Announces that this node itself leaves, at once to a few. */
     MembershipEffects announceState(MemberState state, Random &random);
     /** Announces the leases that this node holds. */
--- a/src/decisions/cold_pace.cpp
+++ b/src/decisions/cold_pace.cpp
@@ -1,5 +1,8 @@
 #include "ibiswell/decisions/cold_pace.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace ibiswell {
 
 namespace {
@@ -9,6 +12,7 @@
 constexpr Duration window = 1s;
 /** Requests take their time to arrive; a start just outside of the window may arrive inside. */
 constexpr Duration windowMargin = 50ms;
+constexpr double burstPart = 0.1; // of a second's starts, that may come at once
 
 } // namespace
 
@@ -23,7 +27,16 @@
     if (!isBounded())
         return true;
     forget(now);
-    return static_cast<double>(m_starts.size()) + 1 <= m_startsPerSecond;
+    return static_cast<double>(m_starts.size()) + 1 <= m_startsPerSecond && isSpread(now);
+}
+
+bool ColdPace::isSpread(TimePoint now) const
+{
+    double together = std::max(1.0, std::floor(m_startsPerSecond * burstPart));
+    auto count = static_cast<std::size_t>(together);
+    if (m_starts.size() < count)
+        return true;
+    return now - m_starts[m_starts.size() - count] >= fromSeconds(together / m_startsPerSecond);
 }
 
 void ColdPace::onStart(TimePoint now)
--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -337,6 +337,11 @@
     if (takesWork == m_self.takesWork)
         return {};
     m_self.takesWork = takesWork;
+    return announceChange(random);
+}
+
+MembershipEffects Membership::announceChange(Random &random)
+{
     ++m_self.incarnation;
     enqueueNews(m_self);
     return spread(MemberNews {}, announceSpread, random);
@@ -347,9 +352,7 @@
     if (leases == m_self.leases)
         return {};
     m_self.leases = std::move(leases);
-    ++m_self.incarnation;
-    enqueueNews(m_self);
-    return spread(MemberNews {}, announceSpread, random);
+    return announceChange(random);
 }
 
 } // namespace ibiswell
--- a/src/decisions/router.cpp
+++ b/src/decisions/router.cpp
@@ -9,7 +9,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr int samplesPerChoice = 3;
+constexpr std::size_t samplesPerChoice = 4;
 constexpr int ownZoneSamples = 2;
 /** A target of another zone is chosen when those of the own zone take this much longer. */
 constexpr double otherZoneFactor = 1.6;
@@ -19,6 +19,15 @@
 constexpr Duration firstAvoidance = 200ms; // after two silences in a row, then doubled
 constexpr int mostAvoidanceDoublings = 5;
 
+/** What is taken for the load of a target that has not reported any. */
+LoadReport loadBeforeReport()
+{
+    LoadReport load;
+    load.limit = 4;
+    load.serviceTime = 5ms;
+    return load;
+}
+
 } // namespace
 
 Router::Router(std::string ownZone, Duration otherZoneLatency)
@@ -61,14 +70,15 @@
     bool sameProcess = known && known->member.endpoint == member.endpoint
         && known->member.service == member.service;
     if (sameProcess) {
+        // It announced a change: what it reported before no longer counts.
         known->member = member;
+        known->load = loadBeforeReport();
         return;
     }
     remove(member.node);
     Target target;
     target.member = member;
-    target.load.limit = 4;
-    target.load.serviceTime = 5ms;
+    target.load = loadBeforeReport();
     m_targets.emplace(member.node, std::move(target));
     Nodes &nodes = m_services[member.service];
     nodes.all.push_back(member.node);
@@ -112,7 +122,7 @@
     const std::vector<std::string> &nodes = service->second.all;
     const std::vector<std::string> &near = service->second.ownZone;
     const Target *best = nullptr;
-    int sampled = 0;
+    std::size_t sampled = 0;
     auto consider = [&](const Target &target) {
         if (!isUsable(now, target, query))
             return;
@@ -123,9 +133,10 @@
     for (int draw = 0; draw < ownZoneSamples && !near.empty(); ++draw)
         consider(m_targets.at(near[pickIndex(random, near.size())]));
     sampled = 0;
-    for (int draw = 0; draw < drawsPerChoice && sampled < samplesPerChoice; ++draw)
+    bool few = nodes.size() <= samplesPerChoice;
+    for (int draw = 0; !few && draw < drawsPerChoice && sampled < samplesPerChoice; ++draw)
         consider(m_targets.at(nodes[pickIndex(random, nodes.size())]));
-    if (!best) {
+    if (few || !best) {
         for (const std::string &node : nodes)
             consider(m_targets.at(node));
     }
--- a/src/decisions/target_admission.cpp
+++ b/src/decisions/target_admission.cpp
@@ -208,6 +208,9 @@
     report.limit = static_cast<std::uint32_t>(std::max(1.0, bearableCalls()));
     report.serviceTime =
         m_meanSlotSeconds > 0 ? fromSeconds(m_meanSlotSeconds) : slotTimeBeforeLearned;
+    // At a server that is paced below its slots, each start waits for the one before it.
+    if (m_pace.isBounded() && bearableCalls() <= 1)
+        report.serviceTime = std::max(report.serviceTime, fromSeconds(1 / m_pace.rate()));
     return report;
 }
 
--- a/src/transport/gossip.cpp
+++ b/src/transport/gossip.cpp
@@ -198,6 +198,12 @@
     m_router.onMember(m_membership.self());
 }
 
+void Gossip::announceChange()
+{
+    apply(m_membership.announceChange(m_node.random));
+    m_router.onMember(m_membership.self());
+}
+
 void Gossip::announceLeaving()
 {
     apply(m_membership.announceState(MemberState::Leaving, m_node.random));
--- a/src/transport/gossip.h
+++ b/src/transport/gossip.h
@@ -46,6 +46,8 @@
     void onPolicyAdopted();
     /** Announces whether the target here takes work. */
     void announceWork(bool takesWork);
+    /** Announces that the load reported by the target here no longer holds. */
+    void announceChange();
     /** Announces that this node leaves. */
     void announceLeaving();
     void announceLeases(std::vector<std::uint32_t> leases);
--- a/src/transport/target_watch.cpp
+++ b/src/transport/target_watch.cpp
@@ -82,8 +82,13 @@
     m_admission.setSlots(m_gate.slots());
     if (!takesWork())
         m_target.apply(m_admission.refuseWaiting(ErrorKind::TargetLeaving));
-    if (!m_node.stopping)
-        m_gossip.announceWork(takesWork());
+    if (m_node.stopping)
+        return;
+    bool warmedUp = m_wasPaced && !paced;
+    m_wasPaced = paced;
+    if (warmedUp && takesWork())
+        m_gossip.announceChange();
+    m_gossip.announceWork(takesWork());
 }
 
 Task<void> TargetWatch::follow()
--- a/src/transport/target_watch.h
+++ b/src/transport/target_watch.h
@@ -43,6 +43,7 @@
     Gossip &m_gossip;
     Log &m_log;
     bool m_zoneWasOut = false;
+    bool m_wasPaced = false;
 };
 
 } // namespace ibiswell
--- a/tests/cold_pace_test.cpp
+++ b/tests/cold_pace_test.cpp
@@ -62,6 +62,23 @@
     CHECK(mostInOneSecond(starts) <= static_cast<std::size_t>(bearable));
 }
 
+TEST_CASE("the starts at a cold backend server are spread over each second")
+{
+    // Load: at all times more than it bears.
+    ColdPace pace;
+    pace.setRate(bearable);
+    std::vector<TimePoint> starts;
+    for (TimePoint now {10s}; now < TimePoint {20s}; now += 1ms) {
+        if (!pace.mayStart(now))
+            continue;
+        pace.onStart(now);
+        starts.push_back(now);
+    }
+    CHECK(starts.size() > 0.9 * bearable * 10);
+    for (std::size_t i = 1; i < starts.size(); ++i)
+        CHECK(starts[i] - starts[i - 1] <= 200ms);
+}
+
 TEST_CASE("starts before the cold start count: the first cold second is no full second on top")
 {
     ColdPace pace;
