Turn requests away at their entry node while a service below is short of room

Nothing told the entry node: calls of backend servers carry no mark of the request behind them. Ruled out: bad placing alone (the targets together were short); the fractions of DemandShares for calls from below (each call was drawn anew, so that the trees broke at random). Change: a target's node knows which of its backend server's calls found no room and says so on the failures it passes up; EntryThrottle lets in a part of the routes so broken, the important classes first, evenly between teams. Calls with work above are refused by a full queue alone and may wait a fifth of their time left; a queue does not push one out for a new request of its class.

--- a/include/ibiswell/core/messages.h
+++ b/include/ibiswell/core/messages.h
@@ -87,6 +87,8 @@
     CallResult result;
     LoadReport load;
     std::uint8_t retriesLeft = 0; ///< What the call did not use of the retries it was given.
+    /** The service below the target whose lack of room broke the call; empty: none did. */
+    std::string shortService {};
 };
 
 /** Sent at a steady pace while a call runs, so that a silent connection differs from slow work. */
--- a/include/ibiswell/core/request.h
+++ b/include/ibiswell/core/request.h
@@ -40,7 +40,9 @@
     std::uint8_t depth = 0; ///< Hops below the entry node.
     std::uint8_t attempt = 1; ///< 1 for the first attempt.
     std::uint8_t retriesLeft = 0; ///< Part of the call tree's retry budget handed to this call.
-    std::string callerService; ///< Service of the VM on which the call began.
+    std::string callerService {}; ///< Service of the VM on which the call began.
+    /** Holds work done above it in a tree that is not known: only a full queue refuses it. */
+    bool unsheddable = false;
 };
 
 /** What a target's node says about its load, carried on each answer. */
--- /dev/null
+++ b/include/ibiswell/decisions/broken_calls.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "ibiswell/core/error.h"
+#include "ibiswell/core/time.h"
+
+#include <string>
+
+namespace ibiswell {
+
+/** Whether an error tells that a service had no room for a call, or not in time. */
+bool tellsShortage(ErrorKind kind);
+
+/**
+ * Remembers that calls of the local backend server were not served since a service was short of
+ * room. Its calls do not say which request caused them, so that a request is held to be broken by
+ * such a call when it failed and the call ended while it ran.
+ */
+class BrokenCalls
+{
+public:
+    /** A call of the local backend server found @p service, or one below it, short of room. */
+    void onBroken(TimePoint now, const std::string &service);
+    /** The service that was short of room since @p start, or empty. */
+    const std::string &since(TimePoint start) const;
+
+private:
+    TimePoint m_at;
+    std::string m_service;
+};
+
+} // namespace ibiswell
--- a/include/ibiswell/decisions/cold_pace.h
+++ b/include/ibiswell/decisions/cold_pace.h
@@ -9,8 +9,8 @@
 /**
  * Holds the starts at a cold backend server to what it bears: in each sliding second at most so
  * many, spread over it, so that callers find a short wait and not an idle server that takes nothing
- * until its second is over. Starts are counted at all times, so that a server that turns cold is not given a second's
- * worth on top of what it just got.
+ * until its second is over. Starts are counted at all times, so that a server that turns cold is
+ * not given a second's worth on top of what it just got.
  */
 class ColdPace
 {
--- a/include/ibiswell/decisions/entry_admission.h
+++ b/include/ibiswell/decisions/entry_admission.h
@@ -15,6 +15,7 @@
 namespace ibiswell {
 
 class Contact;
+class EntryThrottle;
 class Membership;
 class PathTable;
 class PolicyStore;
@@ -47,7 +48,8 @@
 class EntryAdmission
 {
 public:
-    /** Looks up "dialect", "policy", "paths", "contact" and "membership". */
+    /** Looks up "dialect", "policy", "paths", "contact", "membership" and, where it is, "throttle".
+     */
     explicit EntryAdmission(Kernel &kernel);
 
     /** @param requestId for a request that brings none. */
@@ -68,12 +70,15 @@
     std::string_view presentedKey(const HttpRequest &request) const;
     void removeKey(HttpRequest &request, const std::string &key) const;
     void prioritise(Entered &entered) const;
+    /** The part of such requests that the path below takes. */
+    double fractionTaken(TimePoint now, const Entered &entered);
 
     const Dialect &m_dialect;
     const PolicyStore &m_policy;
     const PathTable &m_paths;
     const Contact &m_contact;
     const Membership &m_membership;
+    EntryThrottle *m_throttle; ///< Null where calls below carry their call's token.
     SplitChooser m_splits;
 };
 
--- a/include/ibiswell/decisions/fair_queue.h
+++ b/include/ibiswell/decisions/fair_queue.h
@@ -42,7 +42,8 @@
     std::optional<WaitingCall> pop();
     /**
      * Makes room for @p newcomer: takes out the call that is worth least, when that is worth less
-     * than the newcomer (a lower class, or a team further over its share).
+     * than the newcomer (a lower class, or a team further over its share). A call that holds more
+     * work done above it is not taken out for one of its own class.
      */
     std::optional<WaitingCall> evictFor(const WaitingCall &newcomer);
     bool remove(Ticket ticket);
--- a/include/ibiswell/decisions/target_admission.h
+++ b/include/ibiswell/decisions/target_admission.h
@@ -119,6 +119,7 @@
     void startWaiting(TimePoint now, std::vector<AdmissionEffect> &effects);
     Duration expectedSlotTime(const std::string &route) const;
     Duration queueDelay(PriorityClass priority) const;
+    Duration bearableDelay(const CallContext &context) const;
     TargetOccupancy occupancy() const;
     void noteSlotTime(const std::string &route, Duration slotTime);
 
--- /dev/null
+++ b/src/decisions/broken_calls.cpp
@@ -0,0 +1,32 @@
+#include "ibiswell/decisions/broken_calls.h"
+
+namespace ibiswell {
+
+bool tellsShortage(ErrorKind kind)
+{
+    switch (kind) {
+    case ErrorKind::TargetOverloaded:
+    case ErrorKind::PathOverloaded:
+    case ErrorKind::QueueFull:
+    case ErrorKind::DeadlineTooShort:
+    case ErrorKind::DeadlineExceeded:
+    case ErrorKind::BackendShed:
+        return true;
+    default:
+        return false;
+    }
+}
+
+void BrokenCalls::onBroken(TimePoint now, const std::string &service)
+{
+    m_at = now;
+    m_service = service;
+}
+
+const std::string &BrokenCalls::since(TimePoint start) const
+{
+    static const std::string none;
+    return m_at >= start && !m_service.empty() ? m_service : none;
+}
+
+} // namespace ibiswell
--- a/src/decisions/demand_shares.cpp
+++ b/src/decisions/demand_shares.cpp
@@ -1,7 +1,10 @@
 #include "ibiswell/decisions/demand_shares.h"
 
+#include "ibiswell/decisions/even_fill.h"
+
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <vector>
 
 namespace ibiswell {
@@ -65,33 +68,22 @@
 /** Gives @p capacity (slots) to the teams of one class; returns what they take of it. */
 double DemandShares::allocate(Teams &teams, double capacity, TimePoint now, bool isIdle)
 {
-    struct Claim
-    {
-        Demand *demand;
-        double slots;
-    };
-    std::vector<Claim> claims;
-    double weights = 0;
+    std::vector<FillClaim> claims;
+    claims.reserve(teams.size());
+    for (const auto &[name, demand] : teams)
+        claims.push_back({rate(demand, now), demand.weight});
+    std::vector<double> given = fillEvenly(claims, capacity);
+    std::size_t index = 0;
     for (auto &[name, demand] : teams) {
-        claims.push_back({&demand, rate(demand, now)});
-        weights += demand.weight;
-    }
-    std::sort(claims.begin(), claims.end(), [](const Claim &a, const Claim &b) {
-        return a.slots / a.demand->weight < b.slots / b.demand->weight;
-    });
-    double left = capacity;
-    for (Claim &claim : claims) {
-        double due = left * claim.demand->weight / weights;
-        double given = std::min(claim.slots, due);
-        double fraction = claim.slots > 0 && !isIdle ? given / claim.slots : 1;
-        double previous = claim.demand->fraction;
+        double wanted = claims[index].wanted;
+        double fraction = wanted > 0 && !isIdle ? given[index] / wanted : 1;
+        double previous = demand.fraction;
         double stepped = std::clamp(fraction, previous * steepestFall, previous * steepestRise);
-        claim.demand->fraction = std::clamp(stepped, smallestFraction, 1.0);
+        demand.fraction = std::clamp(stepped, smallestFraction, 1.0);
         m_shedding = m_shedding || fraction < 1;
-        left -= given;
-        weights -= claim.demand->weight;
+        ++index;
     }
-    return capacity - left;
+    return std::accumulate(given.begin(), given.end(), 0.0);
 }
 
 void DemandShares::correctGain(const TargetOccupancy &occupancy)
--- a/src/decisions/entry_admission.cpp
+++ b/src/decisions/entry_admission.cpp
@@ -1,6 +1,7 @@
 #include "ibiswell/decisions/entry_admission.h"
 
 #include "ibiswell/decisions/contact.h"
+#include "ibiswell/decisions/entry_throttle.h"
 #include "ibiswell/decisions/membership.h"
 #include "ibiswell/decisions/path_table.h"
 #include "ibiswell/decisions/policy_store.h"
@@ -62,6 +63,7 @@
     , m_paths(kernel.get<PathTable>("paths"))
     , m_contact(kernel.get<Contact>("contact"))
     , m_membership(kernel.get<Membership>("membership"))
+    , m_throttle(kernel.find<EntryThrottle>("throttle"))
 {
 }
 
@@ -189,12 +191,12 @@
     context.requestId = std::move(id);
     context.timeLeft = *deadline;
     context.retriesLeft = static_cast<std::uint8_t>(defaults.retriesPerCallTree);
-    context.admissionDraw = uniform(random);
-    // The work above a call from a backend server is done already; its target decides.
-    if (context.depth > 0)
+    // The work above a call from a backend server is done already: only a full queue refuses it.
+    context.unsheddable = context.depth > 0;
+    if (context.unsheddable)
         return found;
-    context.admittedFraction =
-        m_paths.fraction(now, {entered.route.name, context.team, context.priority});
+    context.admissionDraw = uniform(random);
+    context.admittedFraction = fractionTaken(now, entered);
     if (context.admissionDraw >= context.admittedFraction)
         return notRun(
             ErrorKind::PathOverloaded,
@@ -202,6 +204,18 @@
     return found;
 }
 
+double EntryAdmission::fractionTaken(TimePoint now, const Entered &entered)
+{
+    const CallContext &context = entered.context;
+    const std::string &route = entered.route.name;
+    double fraction = m_paths.fraction(now, {route, context.team, context.priority});
+    if (!m_throttle)
+        return fraction;
+    double weight = m_policy.policy().team(context.team).weight;
+    m_throttle->onArrival(now, route, context.priority, context.team, weight);
+    return std::min(fraction, m_throttle->fraction(route, context.priority, context.team));
+}
+
 EntryVerdict EntryAdmission::admitBelow(HttpRequest request, CallContext inherited)
 {
     EntryVerdict found = findRoute(std::move(request));
--- a/src/decisions/fair_queue.cpp
+++ b/src/decisions/fair_queue.cpp
@@ -67,7 +67,10 @@
         double used = own == queue.teams.end() ? queue.floor : own->second.usedForWeight;
         if (sameClass && most->usedForWeight <= std::max(used, queue.floor))
             return std::nullopt;
-        return take(queue, *most, std::prev(most->calls.end()));
+        auto last = std::prev(most->calls.end());
+        if (sameClass && last->second.depth > newcomer.depth)
+            return std::nullopt;
+        return take(queue, *most, last);
     }
     return std::nullopt;
 }
--- a/src/decisions/target_admission.cpp
+++ b/src/decisions/target_admission.cpp
@@ -11,6 +11,7 @@
 constexpr Duration slotTimeBeforeLearned = 5ms;
 constexpr Duration longestQueueDelay = 60ms;
 constexpr double queueDelayForSlotTime = 0.5; // a long job may wait this part of its own time
+constexpr double queuePartOfTimeLeft = 0.2; // a call with work above it may wait so long
 constexpr double slotTimeSmoothing = 0.05;
 constexpr double smallestBearable = 0.05; // calls at once
 /** A call that holds work done elsewhere is let a little further than a new one. */
@@ -18,6 +19,8 @@
 
 bool isAdmitted(const CallContext &context, double fraction)
 {
+    if (context.unsheddable)
+        return true;
     double bound = context.depth > 0 ? fraction * favourForWorkDone : fraction;
     return context.admissionDraw < bound;
 }
@@ -95,8 +98,7 @@
 {
     Ticket ticket = call.ticket;
     Duration delay = queueDelay(call.priority);
-    Duration bearable =
-        std::max(longestQueueDelay, fromSeconds(queueDelayForSlotTime * m_meanSlotSeconds));
+    Duration bearable = bearableDelay(arrival.context);
     if (delay + m_limit.baseTime(arrival.route) >= arrival.context.timeLeft)
         return refuse(ticket, ErrorKind::DeadlineTooShort);
     std::vector<AdmissionEffect> effects {QueueCall {ticket}};
@@ -112,6 +114,16 @@
     return effects;
 }
 
+/** Refusing a call that holds work done above it wastes that work: it may wait longer. */
+Duration TargetAdmission::bearableDelay(const CallContext &context) const
+{
+    Duration usual =
+        std::max(longestQueueDelay, fromSeconds(queueDelayForSlotTime * m_meanSlotSeconds));
+    if (!context.unsheddable)
+        return usual;
+    return std::max(usual, fromSeconds(queuePartOfTimeLeft * inSeconds(context.timeLeft)));
+}
+
 void TargetAdmission::start(TimePoint now, const std::string &route, const WaitingCall &call)
 {
     m_pace.onStart(now);
--- a/src/transport/call_path.cpp
+++ b/src/transport/call_path.cpp
@@ -2,6 +2,8 @@
 
 #include "target_service.h"
 
+#include "ibiswell/decisions/broken_calls.h"
+
 #include <fmt/format.h>
 
 namespace ibiswell {
@@ -17,10 +19,18 @@
     double pathFraction = 1;
     std::uint8_t retriesLeft = 0;
     std::string target;
+    std::string shortService; ///< By the last answer.
 
     CallOutcome outcome(CallResult result) const
     {
-        return {std::move(result), pathFraction, retriesLeft, target, sends};
+        const Refusal *refusal = std::get_if<Refusal>(&result);
+        bool ownService = refusal && tellsShortage(refusal->kind);
+        return {std::move(result),
+                pathFraction,
+                retriesLeft,
+                target,
+                sends,
+                ownService ? entered.service : shortService};
     }
 };
 
@@ -149,6 +159,7 @@
         answer = std::move(std::get<AnswerMessage>(std::get<PeerMessage>(reply)));
     }
     guard.settled();
+    attempt.shortService = std::move(answer.shortService);
     const Refusal *refusal = std::get_if<Refusal>(&answer.result);
     bool failed = refusal && refusal->execution == Execution::Unknown;
     m_router.onAnswer(steadyNow(), choice.node, answer.load, failed);
--- a/src/transport/call_path.h
+++ b/src/transport/call_path.h
@@ -25,6 +25,7 @@
     std::uint8_t retriesLeft = 0;
     std::string target {}; ///< Node of the last target; empty when none was found.
     int sends = 0;
+    std::string shortService {}; ///< Whose lack of room broke the call; empty: none did.
 };
 
 /** Brings a call to a target and, within the budgets, to another one when that fails. */
--- a/src/transport/front.cpp
+++ b/src/transport/front.cpp
@@ -33,6 +33,8 @@
     , m_calls(kernel.get<CallTable>("calls"))
     , m_path(kernel.get<CallPath>("call-path"))
     , m_rates(kernel.get<RateService>("rates"))
+    , m_brokenCalls(kernel.find<BrokenCalls>("broken-calls"))
+    , m_throttle(kernel.find<EntryThrottle>("throttle"))
     , m_keys(kernel.find<KeyService>("keys"))
     , m_decisions(kernel.get<DecisionLog>("decisions"))
     , m_metrics(kernel.get<Metrics>("metrics"))
@@ -67,9 +69,23 @@
         co_return finish(requestId, nullptr, start, CallOutcome {std::move(*refusal)});
     Entered entered = std::move(std::get<Entered>(verdict));
     CallOutcome outcome = co_await runEntered(entered);
+    noteShortage(entered, outcome.shortService);
     co_return finish(requestId, &entered, start, std::move(outcome));
 }
 
+void Front::noteShortage(const Entered &entered, const std::string &shortService)
+{
+    if (!m_throttle)
+        return;
+    TimePoint now = steadyNow();
+    // A target that refuses a request of its own has seen it, and divides its room itself.
+    bool direct = shortService == entered.service;
+    if (entered.context.depth == 0 && !direct)
+        m_throttle->onEnd(now, {entered.route.name, shortService});
+    if (entered.context.depth > 0 && !shortService.empty())
+        m_brokenCalls->onBroken(now, shortService);
+}
+
 /** Asks for the rate and, where the request must run once, for the right to run it. */
 Task<CallOutcome> Front::runEntered(Entered entered)
 {
--- a/src/transport/front.h
+++ b/src/transport/front.h
@@ -8,8 +8,10 @@
 #include "rate_service.h"
 #include "status_page.h"
 
+#include "ibiswell/decisions/broken_calls.h"
 #include "ibiswell/decisions/call_table.h"
 #include "ibiswell/decisions/entry_admission.h"
+#include "ibiswell/decisions/entry_throttle.h"
 #include "ibiswell/kernel/kernel.h"
 #include "ibiswell/transport/decision_log.h"
 #include "ibiswell/transport/metrics.h"
@@ -25,7 +27,7 @@
 public:
     /**
      * Looks up "node", "dialect", "policy", "entry", "calls", "call-path", "decisions", "metrics",
-     * "rates" and, where they are, "keys" and "status".
+     * "rates" and, where they are, "broken-calls", "throttle", "keys" and "status".
      */
     Front(Kernel &kernel, asio::io_context &context);
 
@@ -41,6 +43,8 @@
     Task<HttpAnswer> handleCaller(HttpRequest request);
     Task<HttpAnswer> handleBelow(HttpRequest request, std::string token);
     Task<CallOutcome> runEntered(Entered entered);
+    /** Tells the decisions whether a request was broken by a service short of room. */
+    void noteShortage(const Entered &entered, const std::string &shortService);
     HttpAnswer finish(const std::string &requestId, const Entered *entered, TimePoint start,
                       CallOutcome outcome);
     void noteAnswer(const std::string &requestId, const Entered &entered,
@@ -53,6 +57,8 @@
     CallTable &m_calls;
     CallPath &m_path;
     RateService &m_rates;
+    BrokenCalls *m_brokenCalls; ///< Null where calls below carry their call's token.
+    EntryThrottle *m_throttle; ///< Likewise.
     KeyService *m_keys; ///< Null where callers have no idempotency keys.
     DecisionLog &m_decisions;
     Metrics &m_metrics;
--- a/src/transport/node.cpp
+++ b/src/transport/node.cpp
@@ -115,6 +115,8 @@
     kernel.add<RetryPolicy>("retries", external ? external->retries : RetryAllowance {});
     kernel.add<TargetAdmission>("admission");
     kernel.add<CallTable>("calls");
+    if (external)
+        kernel.add<EntryThrottle>("throttle");
     kernel.add<EntryAdmission>("entry", kernel);
 }
 
@@ -147,6 +149,7 @@
 {
     const NodeSettings &own = kernel.get<NodeState>("node").settings;
     kernel.add<TargetGate>("target-gate", own.service);
+    kernel.add<BrokenCalls>("broken-calls");
     kernel.add<TokenPurse>("purse");
     kernel.add<ObjectStore>("object-store", external.store, own.platform, kernel.get<Log>("log"),
                             kernel.get<Metrics>("metrics"));
--- a/src/transport/target_service.cpp
+++ b/src/transport/target_service.cpp
@@ -12,6 +12,7 @@
 
 constexpr Duration expiryInterval = 10ms;
 constexpr Duration healthLimit = 1s;
+constexpr int statusServerError = 500; // and above: the backend server failed
 constexpr int statusUnavailable = 503;
 constexpr int statusTooMany = 429;
 constexpr int statusMisdirected = 421;
@@ -119,6 +120,7 @@
     , m_paths(kernel.get<PathTable>("paths"))
     , m_calls(kernel.get<CallTable>("calls"))
     , m_gate(kernel.find<TargetGate>("target-gate"))
+    , m_brokenCalls(kernel.find<BrokenCalls>("broken-calls"))
     , m_decisions(kernel.get<DecisionLog>("decisions"))
     , m_backend(m_node.settings.backend, optionsFor(m_dialect))
 {
@@ -179,7 +181,18 @@
         call.context.timeLeft -= steadyNow() - arrivedAt;
     }
     CallResult result = co_await work(call, slot, ended);
-    co_return answer(call, std::move(result), ended);
+    std::string shortService = shortServiceBelow(result, slot.startedAt());
+    AnswerMessage message = answer(call, std::move(result), ended);
+    message.shortService = std::move(shortService);
+    co_return message;
+}
+
+std::string TargetService::shortServiceBelow(const CallResult &result, TimePoint startedAt) const
+{
+    const HttpAnswer *failure = std::get_if<HttpAnswer>(&result);
+    if (!m_brokenCalls || !failure || failure->status < statusServerError)
+        return {};
+    return m_brokenCalls->since(startedAt);
 }
 
 Task<std::optional<Refusal>> TargetService::awaitSlot(Ticket ticket)
--- a/src/transport/target_service.h
+++ b/src/transport/target_service.h
@@ -5,6 +5,7 @@
 #include "node_state.h"
 
 #include "ibiswell/core/dialect.h"
+#include "ibiswell/decisions/broken_calls.h"
 #include "ibiswell/decisions/call_table.h"
 #include "ibiswell/decisions/path_table.h"
 #include "ibiswell/decisions/policy_store.h"
@@ -23,7 +24,7 @@
 public:
     /**
      * Looks up "node", "dialect", "policy", "admission", "paths", "calls", "decisions" and, where
-     * backend servers report of themselves, "target-gate".
+     * they are, "target-gate" and "broken-calls".
      */
     TargetService(Kernel &kernel, asio::io_context &context);
 
@@ -54,6 +55,8 @@
     std::optional<Refusal> refuseEarly(const CallMessage &call) const;
     Task<std::optional<Refusal>> awaitSlot(Ticket ticket);
     Task<CallResult> work(CallMessage &call, SlotGuard &slot, CallTable::Ended &ended);
+    /** The service whose lack of room made the backend server fail, or empty. */
+    std::string shortServiceBelow(const CallResult &result, TimePoint startedAt) const;
     HttpRequest backendRequest(CallMessage &call, const std::string &token) const;
     AnswerMessage answer(const CallMessage &call, CallResult result,
                          const CallTable::Ended &ended) const;
@@ -68,6 +71,7 @@
     PathTable &m_paths;
     CallTable &m_calls;
     TargetGate *m_gate; ///< Null where backend servers do not report of themselves.
+    const BrokenCalls *m_brokenCalls; ///< Null where calls below carry their call's token.
     DecisionLog &m_decisions;
     HttpClient m_backend;
     std::unordered_map<Ticket, Waiter> m_waiters;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -119,7 +119,7 @@
 template<class A> void serialize(A &a, CallContext &m)
 {
     a(m.requestId, m.team, m.priority, m.admissionDraw, m.admittedFraction, m.timeLeft, m.depth,
-      m.attempt, m.retriesLeft, m.callerService);
+      m.attempt, m.retriesLeft, m.callerService, m.unsheddable);
 }
 
 template<class A> void serialize(A &a, LoadReport &m)
@@ -134,7 +134,7 @@
 
 template<class A> void serialize(A &a, AnswerMessage &m)
 {
-    a(m.callId, m.result, m.load, m.retriesLeft);
+    a(m.callId, m.result, m.load, m.retriesLeft, m.shortService);
 }
 
 template<class A> void serialize(A &a, WorkingMessage &m)
--- a/tests/small_fleet.h
+++ b/tests/small_fleet.h
@@ -97,6 +97,7 @@
         CallContext context;
         context.timeLeft = std::chrono::milliseconds(700);
         context.depth = 1;
+        context.unsheddable = true;
         Duration spread = fromSeconds(inSeconds(work) * (0.5 + uniform(m_random)));
         call(pickIndex(m_random, m_nodes.size()), spread, context, [](bool) {});
         Duration gap = fromSeconds((0.5 + uniform(m_random)) / callsPerSecond);
