Log an unreadable report of a backend server once for each cause

Cause: each such report was a line, up to the rate limit of twenty a second. Ruled out: a memory in platform/, which decides nothing.

--- a/src/transport/target_watch.cpp
+++ b/src/transport/target_watch.cpp
@@ -42,6 +42,7 @@
 
 ReportOutcome TargetWatch::onReport(const TargetReport &report)
 {
+    m_unreadable.clear();
     ReportOutcome outcome = m_gate.onReport(steadyNow(), report);
     carryOut();
     if (outcome != ReportOutcome::Refreshed)
@@ -56,6 +57,15 @@
     return outcome;
 }
 
+void TargetWatch::onUnreadable(const Error &error)
+{
+    if (error.detail == m_unreadable)
+        return;
+    m_unreadable = error.detail;
+    m_log.write(steadyNow(), LogLevel::Warning, "target-report-unreadable",
+                {{"detail", error.detail}});
+}
+
 void TargetWatch::onDeparture(const std::string &instance)
 {
     bool closed = m_gate.onDeparture(instance);
--- a/src/transport/target_watch.h
+++ b/src/transport/target_watch.h
@@ -28,6 +28,9 @@
     /** The backend server leaves for good. When it returns, no further call is started there. */
     void onDeparture(const std::string &instance);
 
+    /** A report could not be read; told once for each cause, until another one is read. */
+    void onUnreadable(const Error &error);
+
     /** Keeps pace and announcement up to date; runs until the node stops. */
     Task<void> follow();
 
@@ -44,6 +47,7 @@
     Log &m_log;
     bool m_zoneWasOut = false;
     bool m_wasPaced = false;
+    std::string m_unreadable; ///< Why the last report could not be read; empty: it could.
 };
 
 } // namespace ibiswell
