--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -200,3 +200,19 @@
     REQUIRE(two.find("one"));
     CHECK(two.find("one")->takesWork);
 }
+
+TEST_CASE("a node that starts again while its time of day is behind is seen again")
+{
+    FakeFleet fleet(10);
+    fleet.run(5s);
+    // Its incarnation comes from the time of day, and the others remember a greater one.
+    fleet.start(4, 0);
+    fleet.node("n4").onRoster(fleet.now(), fleet.node("n0").roster());
+    fleet.send("n4", fleet.node("n4").announceWork(false, fleet.random()));
+    fleet.run(5s);
+    for (int i = 0; i < 10; ++i) {
+        const Member *seen = fleet.node("n" + std::to_string(i)).find("n4");
+        bool isOwn = i == 4;
+        CHECK((isOwn || (seen && seen->state == MemberState::Alive && !seen->takesWork)));
+    }
+}
--- a/tests/process/platform_test.cpp
+++ b/tests/process/platform_test.cpp
@@ -134,6 +134,15 @@
         return reply;
     }
     bool serves(int node) { return ask(node, "GET", "/x/1", "probe").status == 200; }
+    /** Lines with @p event in what a node has written so far. */
+    int linesOf(int node, const std::string &event) const
+    {
+        std::ifstream file(log(fmt::format("node-{}", node)));
+        int count = 0;
+        for (std::string line; std::getline(file, line);)
+            count += line.find(" " + event + " ") != std::string::npos ? 1 : 0;
+        return count;
+    }
     bool isReady(int node) const
     {
         return request(readiness(node), "GET", "/api/readyz").status == 200;
@@ -287,3 +296,20 @@
     platform.node(1).signal(SIGHUP);
     CHECK(platform.serves(1));
 }
+
+TEST_CASE("platform: reports that cannot be read change nothing and are told once")
+{
+    Platform platform(19600);
+    startUsual(platform);
+    // The target's own reports stop, since each that is read ends the repetition.
+    platform.say(0, R"({"report": false})");
+    std::this_thread::sleep_for(twoReports);
+    for (int i = 0; i < 5; ++i)
+        CHECK(request(platform.reports(0), "POST", "/api/instances/i-0/heartbeat", {}, "{").status
+              == 400);
+    CHECK(eventually([&] { return platform.linesOf(0, "target-report-unreadable") > 0; }));
+    request(platform.reports(0), "POST", "/api/instances/i-0/heartbeat", {}, "[]");
+    CHECK(eventually([&] { return platform.linesOf(0, "target-report-unreadable") == 2; }));
+    CHECK(platform.serves(0));
+    CHECK(platform.isReady(0));
+}
