Serve a team's request at a target whose queue is full of calls with work above them

Ruled out: the entry throttle, which leaves requests made straight to the short service alone. Change: a request whose team is next in line takes a place in such a queue: it waits for one slot.

--- a/include/ibiswell/decisions/fair_queue.h
+++ b/include/ibiswell/decisions/fair_queue.h
@@ -46,6 +46,8 @@
      * work done above it is not taken out for one of its own class.
      */
     std::optional<WaitingCall> evictFor(const WaitingCall &newcomer);
+    /** Whether the next slots go to the team of @p newcomer, however many calls wait. */
+    bool isNextInLine(const WaitingCall &newcomer) const;
     bool remove(Ticket ticket);
     /** Takes out the calls that can no longer finish in time. */
     std::vector<WaitingCall> removeLate(TimePoint now);
--- a/include/ibiswell/decisions/target_admission.h
+++ b/include/ibiswell/decisions/target_admission.h
@@ -108,6 +108,7 @@
     struct Queued
     {
         std::string route;
+        bool unsheddable;
     };
 
     std::vector<AdmissionEffect> refuse(Ticket ticket, ErrorKind kind) const;
@@ -119,6 +120,8 @@
     void startWaiting(TimePoint now, std::vector<AdmissionEffect> &effects);
     Duration expectedSlotTime(const std::string &route) const;
     Duration queueDelay(PriorityClass priority) const;
+    /** Whether a call that finds the queue full of calls that stay is still served soon. */
+    bool isServedSoon(const WaitingCall &call) const;
     Duration bearableDelay(const CallContext &context) const;
     TargetOccupancy occupancy() const;
     void noteSlotTime(const std::string &route, Duration slotTime);
--- a/src/decisions/fair_queue.cpp
+++ b/src/decisions/fair_queue.cpp
@@ -75,6 +75,24 @@
     return std::nullopt;
 }
 
+bool FairQueue::isNextInLine(const WaitingCall &newcomer) const
+{
+    auto rank = static_cast<std::size_t>(newcomer.priority);
+    bool isOutranked = newcomer.priority > PriorityClass::Critical
+        && sizeAtOrAbove(static_cast<PriorityClass>(rank - 1)) > 0;
+    if (isOutranked)
+        return false;
+    const ClassQueue &queue = m_classes[rank];
+    auto own = queue.teams.find(newcomer.team);
+    if (own != queue.teams.end() && !own->second.calls.empty())
+        return false;
+    double used = own == queue.teams.end() ? queue.floor : own->second.usedForWeight;
+    return std::all_of(queue.teams.begin(), queue.teams.end(), [&](const auto &item) {
+        const TeamQueue &other = item.second;
+        return other.calls.empty() || other.usedForWeight >= std::max(used, queue.floor);
+    });
+}
+
 bool FairQueue::remove(Ticket ticket)
 {
     for (ClassQueue &queue : m_classes) {
--- a/src/decisions/target_admission.cpp
+++ b/src/decisions/target_admission.cpp
@@ -104,16 +104,25 @@
     std::vector<AdmissionEffect> effects {QueueCall {ticket}};
     if (queueDelay(PriorityClass::Bulk) > bearable) {
         std::optional<WaitingCall> evicted = m_queue.evictFor(call);
-        if (!evicted)
+        if (!evicted && !isServedSoon(call))
             return refuse(ticket, ErrorKind::QueueFull);
-        m_waiting.erase(evicted->ticket);
-        effects.push_back(RefuseCall {evicted->ticket, ErrorKind::QueueFull});
+        if (evicted) {
+            m_waiting.erase(evicted->ticket);
+            effects.push_back(RefuseCall {evicted->ticket, ErrorKind::QueueFull});
+        }
     }
-    m_waiting[ticket] = {arrival.route};
+    m_waiting[ticket] = {arrival.route, arrival.context.unsheddable};
     m_queue.push(std::move(call));
     return effects;
 }
 
+bool TargetAdmission::isServedSoon(const WaitingCall &call) const
+{
+    bool staysFull = std::any_of(m_waiting.begin(), m_waiting.end(),
+                                 [](const auto &item) { return item.second.unsheddable; });
+    return staysFull && m_queue.isNextInLine(call);
+}
+
 /** Refusing a call that holds work done above it wastes that work: it may wait longer. */
 Duration TargetAdmission::bearableDelay(const CallContext &context) const
 {
--- a/tests/target_admission_test.cpp
+++ b/tests/target_admission_test.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+#include <set>
+
 using namespace ibiswell;
 using namespace std::chrono_literals;
 
@@ -115,3 +118,59 @@
     }
     CHECK(many == doctest::Approx(longer).epsilon(0.5));
 }
+
+TEST_CASE("a team's request is served at a target that is full of calls with work above them")
+{
+    // Load: twice as many calls from below as the target bears, beside a request of a team now and
+    // then, of the same class.
+    TargetAdmission admission;
+    admission.setSlots(4);
+    TimePoint now {10s};
+    std::map<Ticket, TimePoint> running; // and when each ends
+    std::set<Ticket> ofTeam;
+    int refused = 0;
+    int started = 0;
+    auto note = [&](const std::vector<AdmissionEffect> &effects) {
+        for (const AdmissionEffect &effect : effects) {
+            Ticket ticket = std::visit([](const auto &e) { return e.ticket; }, effect);
+            if (std::holds_alternative<StartCall>(effect)) {
+                running[ticket] = now + 20ms;
+                started += ofTeam.contains(ticket) ? 1 : 0;
+            }
+            if (std::holds_alternative<RefuseCall>(effect))
+                refused += ofTeam.contains(ticket) ? 1 : 0;
+        }
+    };
+    for (int i = 0; i < 4000; ++i) {
+        now += 2500us;
+        for (auto it = running.begin(); it != running.end();) {
+            auto next = std::next(it);
+            if (it->second <= now) {
+                Ticket ticket = it->first;
+                running.erase(it);
+                note(admission.finish(now, ticket, {WorkOutcome::Completed, 20ms, {}, false}));
+                next = running.begin();
+            }
+            it = next;
+        }
+        Arrival below;
+        below.route = "below";
+        below.context.timeLeft = 700ms;
+        below.context.depth = 1;
+        below.context.unsheddable = true;
+        note(admission.arrive(now, below));
+        if (i % 40 == 39) {
+            Arrival own;
+            own.route = "refund";
+            own.context.team = "club";
+            own.context.timeLeft = 600ms;
+            std::vector<AdmissionEffect> effects = admission.arrive(now, own);
+            ofTeam.insert(std::visit([](const auto &e) { return e.ticket; }, effects.front()));
+            note(effects);
+        }
+        note(admission.tick(now));
+    }
+    CHECK(ofTeam.size() == 100);
+    CHECK(started >= 95);
+    CHECK(refused <= 5);
+}
