Throttle on a lack of room alone, not on what backend servers shed or lose by themselves

Ruled out: the floor (it only bounds the loss). Change: sheds, lost and late answers of backend servers no longer count; refusals of their nodes do.

--- a/include/ibiswell/decisions/broken_calls.h
+++ b/include/ibiswell/decisions/broken_calls.h
@@ -7,7 +7,10 @@
 
 namespace ibiswell {
 
-/** Whether an error tells that a service had no room for a call, or not in time. */
+/**
+ * Whether an error tells that a service had no room for a call. What a backend server refuses or
+ * loses by itself does not: it does so at any load, and letting in less would not help.
+ */
 bool tellsShortage(ErrorKind kind);
 
 /**
--- a/src/decisions/broken_calls.cpp
+++ b/src/decisions/broken_calls.cpp
@@ -9,8 +9,6 @@
     case ErrorKind::PathOverloaded:
     case ErrorKind::QueueFull:
     case ErrorKind::DeadlineTooShort:
-    case ErrorKind::DeadlineExceeded:
-    case ErrorKind::BackendShed:
         return true;
     default:
         return false;
--- a/tests/entry_throttle_test.cpp
+++ b/tests/entry_throttle_test.cpp
@@ -2,6 +2,7 @@
 
 #include "small_fleet.h"
 
+#include "ibiswell/decisions/broken_calls.h"
 #include "ibiswell/decisions/entry_throttle.h"
 
 #include <doctest/doctest.h>
@@ -203,3 +204,21 @@
     CHECK(throttle.fraction("browse", PriorityClass::Normal, "") < 0.25);
     CHECK(throttle.fraction("sheet", PriorityClass::Bulk, "") == 1);
 }
+
+TEST_CASE("backend servers that fail by themselves at any load turn nobody away")
+{
+    // Load: as usual; half of the requests are broken by servers that shed or lose them.
+    for (ErrorKind kind : {ErrorKind::BackendShed, ErrorKind::DeadlineExceeded,
+                           ErrorKind::ConnectionLost, ErrorKind::AnswerTruncated}) {
+        EntryThrottle throttle;
+        TimePoint now {1s};
+        for (int i = 0; i < 300; ++i) {
+            now += 10ms;
+            throttle.onArrival(now, "browse", PriorityClass::Normal, "", 1);
+            bool isBroken = i % 2 == 0 && tellsShortage(kind);
+            throttle.onEnd(now, {"browse", isBroken ? "stock" : ""});
+        }
+        CHECK(throttle.fraction("browse", PriorityClass::Normal, "") == 1);
+    }
+    CHECK(tellsShortage(ErrorKind::QueueFull));
+}
