Set the planned-stop test up with targets that are equally fast

Since all targets of a small service are weighed, the slow one is not chosen. Ruled out: load; it failed on an idle machine too. No fault of the planned stop. Change: both targets take 600 ms, so that the one of the own zone runs the request. All checks stay: a call in flight at SIGTERM is answered whole, others are served, the node ends by itself.

--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -129,13 +129,13 @@
 TEST_CASE("a planned stop cuts no request and takes no new one")
 {
     Deployment deployment(17400);
-    deployment.addTarget("catalogue", "a", {"--service-ms", "1500"});
-    deployment.addTarget("catalogue", "b", {"--service-ms", "20"});
+    deployment.addTarget("catalogue", "a", {"--service-ms", "600"});
+    deployment.addTarget("catalogue", "b", {"--service-ms", "600"});
     deployment.applyPolicy();
     Reply slow;
     std::string id;
     std::thread caller([&] {
-        // Direct to the node of the slow target until it is the one that runs the request.
+        // Both are as fast, so that the target of the own zone runs the request.
         for (int i = 0; i < 20; ++i) {
             id = fmt::format("stop-{}", i);
             slow = request(deployment.httpPort(0), "GET", "/catalogue/tiles", withId(id));
