Take out what nothing calls; one way for a stand-in to serve

Cause: read again as a newcomer would. The four stand-ins ended in the same fifteen lines; the counter of connections and two names of the dialect had no reader; a header was included for nothing. Ruled out: one piece for the fractions of DemandShares and EntryThrottle. Both call fillEvenly already; what is left differs (steps and an idle rule in the one, a floor for each class in the other). Change: serve_standin.h; the dead accessors, fields and constants go. No behaviour and no check changes.

--- a/include/ibiswell/core/dialect.h
+++ b/include/ibiswell/core/dialect.h
@@ -35,11 +35,9 @@
     std::string callerService; ///< Service of the VM on which the request began.
     std::string callToken; ///< Identifies the running call to which a call below belongs.
     std::string expectedInstance; ///< Instance that must run the request, sent with it.
-    std::string instance; ///< Instance that answered.
     std::string signature; ///< Proof that an answer is a backend server's; kept unchanged.
     std::string notExecuted; ///< Present in an answer when the request certainly did not run.
     std::string execution; ///< Execution of a refused request, told to the caller.
-    std::string warmup; ///< Milliseconds for which a backend server stays cold, in its answers.
 };
 
 /** Turns a refusal into an answer to a caller. */
--- a/include/ibiswell/decisions/entry_throttle.h
+++ b/include/ibiswell/decisions/entry_throttle.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <set>
 #include <string>
-#include <string_view>
 
 namespace ibiswell {
 
--- a/src/decisions/entry_throttle.cpp
+++ b/src/decisions/entry_throttle.cpp
@@ -16,8 +16,7 @@
 constexpr Duration adjustInterval = 100ms;
 constexpr Duration calmBeforeForgotten = 5s;
 constexpr Duration responseTime = 200ms;
-/** Requests let in for each that is to end whole: above 1, so that room is found when it returns.
- */
+/** Requests let in for each that ends whole; above 1, so that returning room is found. */
 constexpr double admittedForWhole = 1.1;
 /** Likewise, once no request was broken for a while: the shortage is over or far below. */
 constexpr double admittedWhenCalm = 1.5;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -72,7 +72,6 @@
     TimePoint start = steadyNow();
     std::optional<tcp::socket> socket = takeIdle();
     if (!socket) {
-        ++m_connects;
         socket = co_await connectTo(m_server, std::min(limit, connectLimit));
         if (socket && m_options.probeWhenIdle)
             probeWhenIdle(*socket);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -36,8 +36,6 @@
     Task<CallResult> exchange(HttpRequest request, Duration limit);
 
     const Endpoint &server() const { return m_server; }
-    /** Connections opened so far. */
-    std::uint64_t connects() const { return m_connects; }
 
 private:
     struct Idle
@@ -60,7 +58,6 @@
     Endpoint m_server;
     HttpClientOptions m_options;
     std::deque<Idle> m_idle;
-    std::uint64_t m_connects = 0;
 };
 
 } // namespace ibiswell
--- a/src/transport/target_service.h
+++ b/src/transport/target_service.h
@@ -41,8 +41,6 @@
 
     /** Carries out what the admission decided outside of run(). */
     void apply(const std::vector<AdmissionEffect> &effects);
-    /** Connections opened to the backend server so far. */
-    std::uint64_t connects() const { return m_backend.connects(); }
 
 private:
     struct Waiter
--- a/tests/standins/backend_standin.cpp
+++ b/tests/standins/backend_standin.cpp
@@ -10,7 +10,7 @@
  */
 
 #include "http_client.h"
-#include "http_server.h"
+#include "serve_standin.h"
 
 #include "ibiswell/policy/object_reader.h"
 
@@ -21,7 +21,6 @@
 #include <fmt/format.h>
 
 #include <charconv>
-#include <csignal>
 #include <iostream>
 #include <map>
 #include <set>
@@ -227,17 +226,9 @@
         std::cout << options;
         return 0;
     }
-    std::signal(SIGPIPE, SIG_IGN);
     asio::io_context context;
     std::uint16_t port = given.port;
     Backend backend(context, std::move(given));
-    HttpServer server(
-        context, [] { return CallerLimits {}; },
-        [&](HttpRequest request) { return backend.handle(std::move(request)); });
-    if (!server.listen({"127.0.0.1", port})) {
-        fmt::print(stderr, "{}\n", server.lastError()->detail);
-        return 1;
-    }
-    context.run();
-    return 0;
+    return serveStandin(context, port,
+                        [&](HttpRequest request) { return backend.handle(std::move(request)); });
 }
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -8,7 +8,7 @@
  * POST /faults                         {"down", "slow_ms", "lose_answers"}
  */
 
-#include "http_server.h"
+#include "serve_standin.h"
 
 #include "ibiswell/policy/object_reader.h"
 
@@ -18,7 +18,6 @@
 #include <fmt/format.h>
 
 #include <charconv>
-#include <csignal>
 #include <map>
 
 namespace ibiswell {
@@ -176,16 +175,8 @@
     po::variables_map given;
     po::store(po::parse_command_line(argc, argv, options), given);
     po::notify(given);
-    std::signal(SIGPIPE, SIG_IGN);
     asio::io_context context;
     Platform platform(context);
-    HttpServer server(
-        context, [] { return CallerLimits {}; },
-        [&](HttpRequest request) { return platform.handle(std::move(request)); });
-    if (!server.listen({"127.0.0.1", port})) {
-        fmt::print(stderr, "{}\n", server.lastError()->detail);
-        return 1;
-    }
-    context.run();
-    return 0;
+    return serveStandin(context, port,
+                        [&](HttpRequest request) { return platform.handle(std::move(request)); });
 }
--- /dev/null
+++ b/tests/standins/serve_standin.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "http_server.h"
+
+#include <fmt/format.h>
+
+#include <csignal>
+#include <cstdio>
+
+namespace ibiswell {
+
+/**
+ * Serves HTTP on loopback with @p handler until the process is ended.
+ *
+ * @return the exit code: 1 when the port cannot be had, with the reason on standard error.
+ */
+inline int serveStandin(asio::io_context &context, std::uint16_t port, HttpServer::Handler handler)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    HttpServer server(
+        context, [] { return CallerLimits {}; }, std::move(handler));
+    if (!server.listen({"127.0.0.1", port})) {
+        fmt::print(stderr, "{}\n", server.lastError()->detail);
+        return 1;
+    }
+    context.run();
+    return 0;
+}
+
+} // namespace ibiswell
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -5,7 +5,7 @@
  * POST /faults   {"mode": "" | "busy" | "many" | "silent", "lose_writes": N, "forget": true}
  */
 
-#include "http_server.h"
+#include "serve_standin.h"
 
 #include "ibiswell/policy/object_reader.h"
 
@@ -16,7 +16,6 @@
 #include <fmt/format.h>
 
 #include <charconv>
-#include <csignal>
 #include <deque>
 #include <map>
 
@@ -199,16 +198,8 @@
     po::variables_map given;
     po::store(po::parse_command_line(argc, argv, options), given);
     po::notify(given);
-    std::signal(SIGPIPE, SIG_IGN);
     asio::io_context context;
     Store store(context);
-    HttpServer server(
-        context, [] { return CallerLimits {}; },
-        [&](HttpRequest request) { return store.handle(std::move(request)); });
-    if (!server.listen({"127.0.0.1", port})) {
-        fmt::print(stderr, "{}\n", server.lastError()->detail);
-        return 1;
-    }
-    context.run();
-    return 0;
+    return serveStandin(context, port,
+                        [&](HttpRequest request) { return store.handle(std::move(request)); });
 }
--- a/tests/standins/target_standin.cpp
+++ b/tests/standins/target_standin.cpp
@@ -8,7 +8,7 @@
  */
 
 #include "http_client.h"
-#include "http_server.h"
+#include "serve_standin.h"
 
 #include "ibiswell/policy/object_reader.h"
 
@@ -17,7 +17,6 @@
 #include <boost/program_options.hpp>
 #include <fmt/format.h>
 
-#include <csignal>
 #include <map>
 
 namespace ibiswell {
@@ -143,17 +142,9 @@
     po::variables_map values;
     po::store(po::parse_command_line(argc, argv, options), values);
     po::notify(values);
-    std::signal(SIGPIPE, SIG_IGN);
     asio::io_context context;
     std::uint16_t port = given.port;
     Target target(context, std::move(given));
-    HttpServer server(
-        context, [] { return CallerLimits {}; },
-        [&](HttpRequest request) { return target.handle(std::move(request)); });
-    if (!server.listen({"127.0.0.1", port})) {
-        fmt::print(stderr, "{}\n", server.lastError()->detail);
-        return 1;
-    }
-    context.run();
-    return 0;
+    return serveStandin(context, port,
+                        [&](HttpRequest request) { return target.handle(std::move(request)); });
 }
