Measure how far the event loop is behind, and record callers that leave

No line said how long events wait for their handlers, a cancelled call did not say how long it had been there, and an entry node wrote nothing when a caller left.

The delay and the processor time are on the metrics address. A cancelled call states ms since its arrival; an entry node writes decision leave.

--- a/src/transport/front.cpp
+++ b/src/transport/front.cpp
@@ -26,6 +26,38 @@
 
 } // namespace
 
+/** Records a caller that leaves before its response. */
+class Front::DepartureGuard
+{
+public:
+    DepartureGuard(Front &front, const std::string &requestId, const std::string &service,
+                   TimePoint start)
+        : m_front(front)
+        , m_requestId(requestId)
+        , m_service(service)
+        , m_start(start)
+    {
+    }
+    DepartureGuard(const DepartureGuard &) = delete;
+    DepartureGuard &operator=(const DepartureGuard &) = delete;
+    ~DepartureGuard()
+    {
+        if (!m_ended)
+            m_front.m_decisions.record(
+                m_requestId, "leave",
+                {{"service", m_service},
+                 {"ms", fmt::format("{:.1f}", inSeconds(steadyNow() - m_start) * 1000)}});
+    }
+    void markEnded() { m_ended = true; }
+
+private:
+    Front &m_front;
+    const std::string &m_requestId;
+    const std::string &m_service;
+    TimePoint m_start;
+    bool m_ended = false;
+};
+
 Front::Front(Kernel &kernel, asio::io_context &context)
     : m_node(kernel.get<NodeState>("node"))
     , m_dialect(kernel.get<Dialect>("dialect"))
@@ -69,7 +101,9 @@
     if (Refusal *refusal = std::get_if<Refusal>(&decision))
         co_return finish(requestId, nullptr, start, CallOutcome {std::move(*refusal)});
     AdmittedRequest admitted = std::move(std::get<AdmittedRequest>(decision));
+    DepartureGuard departure(*this, requestId, admitted.service, start);
     CallOutcome outcome = co_await runAdmitted(admitted);
+    departure.markEnded();
     recordSaturation(admitted, outcome.saturatedService);
     co_return finish(requestId, &admitted, start, std::move(outcome));
 }
--- a/src/transport/front.h
+++ b/src/transport/front.h
@@ -39,6 +39,8 @@
     const std::optional<Error> &lastError() const { return m_server.lastError(); }
 
 private:
+    class DepartureGuard;
+
     Task<HttpResponse> handle(HttpRequest request);
     Task<HttpResponse> handleCaller(HttpRequest request);
     Task<HttpResponse> handleDownstream(HttpRequest request, std::string token);
--- a/src/transport/node.cpp
+++ b/src/transport/node.cpp
@@ -5,6 +5,7 @@
 #include "gossip.h"
 #include "key_service.h"
 #include "lease_service.h"
+#include "loop_monitor.h"
 #include "object_store_client.h"
 #include "peer_server.h"
 #include "platform_sync.h"
@@ -132,6 +133,7 @@
                             hasExplainPage ? DecisionLog::defaultRetainedRequests : 0);
     kernel.add<PeerConnectionPool>("peer-links");
     kernel.add<Gossip>("gossip", kernel, context);
+    kernel.add<LoopMonitor>("loop-monitor", kernel, context);
 }
 
 /**
@@ -327,6 +329,9 @@
     m_impl->spawn(m_impl->drainOnSignal());
     m_impl->spawn(m_impl->logReloadSignals());
     m_impl->spawn(m_impl->runMaintenance());
+    LoopMonitor &loopMonitor = kernel.get<LoopMonitor>("loop-monitor");
+    m_impl->spawn(loopMonitor.receiveProbes());
+    m_impl->spawn(loopMonitor.sendProbes());
     m_impl->spawn(kernel.get<TargetService>("target").expireWaitingCalls());
     m_impl->spawn(kernel.get<RateService>("rates").replenishTokens());
     std::visit([&](const auto &kind) { m_impl->startTasks(kind); }, m_impl->front);
--- a/src/transport/status_page.cpp
+++ b/src/transport/status_page.cpp
@@ -1,6 +1,7 @@
 #include "status_page.h"
 
 #include "asio.h"
+#include "loop_monitor.h"
 #include "platform_client.h"
 
 #include "ibiswell/core/hash.h"
@@ -52,6 +53,7 @@
     , m_decisions(kernel.get<DecisionLog>("decisions"))
     , m_metrics(kernel.get<Metrics>("metrics"))
     , m_log(kernel.get<Log>("log"))
+    , m_loopMonitor(kernel.get<LoopMonitor>("loop-monitor"))
 {
 }
 
@@ -144,6 +146,8 @@
         {"ibiswell_leases_held", static_cast<double>(m_leases.heldLeases(steadyNow()).size())},
         {"ibiswell_platform_calls", static_cast<double>(m_platform.callCount())},
         {"ibiswell_log_lines_left_out", static_cast<double>(m_log.droppedLines())},
+        {"ibiswell_loop_delay_seconds", inSeconds(m_loopMonitor.delay(steadyNow()))},
+        {"ibiswell_processor_seconds", inSeconds(LoopMonitor::processorTime())},
     };
 }
 
--- a/src/transport/status_page.h
+++ b/src/transport/status_page.h
@@ -14,6 +14,7 @@
 class DecisionLog;
 class LeaseManager;
 class Log;
+class LoopMonitor;
 class Membership;
 class Metrics;
 class PlatformClient;
@@ -51,6 +52,7 @@
     DecisionLog &m_decisions;
     Metrics &m_metrics;
     Log &m_log;
+    LoopMonitor &m_loopMonitor;
 };
 
 } // namespace ibiswell
--- a/src/transport/target_service.cpp
+++ b/src/transport/target_service.cpp
@@ -58,6 +58,7 @@
         , m_ticket(ticket)
         , m_requestId(call.context.requestId)
         , m_route(call.route)
+        , m_arrivedAt(steadyNow())
     {
     }
     SlotGuard(const SlotGuard &) = delete;
@@ -73,6 +74,7 @@
             m_requestId, "place",
             {{"route", m_route},
              {"outcome", std::string(responseFor(ErrorKind::Cancelled).name)},
+             {"ms", fmt::format("{:.1f}", inSeconds(steadyNow() - m_arrivedAt) * 1000)},
              {"reason",
               m_started ? "the caller disconnected while the call was running"
                         : "the caller disconnected before a slot was free"}});
@@ -106,6 +108,7 @@
     Ticket m_ticket;
     std::string m_requestId;
     std::string m_route;
+    TimePoint m_arrivedAt;
     bool m_started = false;
     bool m_completed = false;
     TimePoint m_startedAt;
