Ask whether the caller has left right before work is sent on

Cause: a node looked for the close of a caller's connection only as an event of its own loop. A call and the close behind it wait in the same place, so a node that reads the call late sent it to the backend server at once and handled the close afterwards; the same held for a call that got its slot, and for a connection that was established, while the close was waiting. Once unread bytes had arrived on the connection, the close was not seen at all.

Change: CallerConnection asks the system (POLLRDHUP, which unread bytes do not hide). HttpClient and PeerConnectionPool ask it between having a connection and the first byte. A call that is not sent is reported as cancelled and not run.

--- a/src/transport/asio.h
+++ b/src/transport/asio.h
@@ -84,22 +84,6 @@
     co_return std::nullopt;
 }
 
-/**
- * Completes when the peer closes the connection. Bytes that arrive stay unread; once some have
- * arrived, a later close is not detected.
- */
-inline Task<void> waitUntilClosed(tcp::socket &socket)
-{
-    auto [ec] = co_await socket.async_wait(tcp::socket::wait_read, asResult);
-    boost::system::error_code ignored;
-    bool closed = ec || socket.available(ignored) == 0;
-    if (closed)
-        co_return;
-    asio::steady_timer forever(co_await asio::this_coro::executor,
-                               std::chrono::steady_clock::time_point::max());
-    co_await forever.async_wait(asResult);
-}
-
 /** Whether an idle connection was closed by its peer or holds unsolicited bytes. */
 inline bool isStale(tcp::socket &socket)
 {
--- a/src/transport/call_dispatcher.cpp
+++ b/src/transport/call_dispatcher.cpp
@@ -75,7 +75,7 @@
 {
 }
 
-Task<CallOutcome> CallDispatcher::dispatch(AdmittedRequest admitted)
+Task<CallOutcome> CallDispatcher::dispatch(AdmittedRequest admitted, const CallerConnection &caller)
 {
     CallState state;
     state.deadline = steadyNow() + admitted.context.remainingTime;
@@ -91,7 +91,7 @@
             co_return state.outcome(std::move(refusal));
         }
         state.target = choice->node;
-        ResponseMessage message = co_await send(state, *choice);
+        ResponseMessage message = co_await send(state, *choice, caller);
         if (HttpResponse *response = std::get_if<HttpResponse>(&message.result))
             co_return state.outcome(std::move(*response));
         refusal = std::get<Refusal>(message.result);
@@ -133,7 +133,8 @@
     return choice;
 }
 
-Task<ResponseMessage> CallDispatcher::send(CallState &state, const RouteChoice &choice)
+Task<ResponseMessage> CallDispatcher::send(CallState &state, const RouteChoice &choice,
+                                           const CallerConnection &caller)
 {
     ++state.sends;
     CallMessage call;
@@ -151,12 +152,15 @@
     SendGuard guard(m_router, choice.node);
     ResponseMessage response;
     if (choice.node == m_node.settings.node) {
-        response = co_await m_target.run(std::move(call));
+        response = co_await m_target.run(std::move(call), caller);
     } else {
-        PeerReply reply = co_await m_connections.call(choice.endpoint, std::move(call));
+        PeerReply reply = co_await m_connections.call(choice.endpoint, std::move(call), caller);
         if (Refusal *refusal = std::get_if<Refusal>(&reply)) {
-            guard.markCompleted();
-            m_router.onNoResponse(steadyNow(), choice.node);
+            bool sent = refusal->kind != ErrorKind::Cancelled;
+            if (sent) {
+                guard.markCompleted();
+                m_router.onNoResponse(steadyNow(), choice.node);
+            }
             response.result = std::move(*refusal);
             co_return response;
         }
--- a/src/transport/call_dispatcher.h
+++ b/src/transport/call_dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "asio.h"
+#include "caller_connection.h"
 #include "node_state.h"
 #include "peer_connection_pool.h"
 
@@ -41,16 +42,17 @@
 
     /**
      * Sends a call until a target responds, no further target is found or no retry is allowed;
-     * returns the last result.
+     * returns the last result. Nothing is sent once @p caller has left.
      */
-    Task<CallOutcome> dispatch(AdmittedRequest admitted);
+    Task<CallOutcome> dispatch(AdmittedRequest admitted, const CallerConnection &caller);
 
 private:
     struct CallState;
     class SendGuard;
 
     std::optional<RouteChoice> choose(CallState &state);
-    Task<ResponseMessage> send(CallState &state, const RouteChoice &choice);
+    Task<ResponseMessage> send(CallState &state, const RouteChoice &choice,
+                               const CallerConnection &caller);
     /**
      * Decides whether the call is sent again after @p refusal, and waits before a resend as long as
      * the retry policy requires.
--- a/src/transport/front.cpp
+++ b/src/transport/front.cpp
@@ -74,12 +74,14 @@
     , m_status(kernel.find<StatusPage>("status"))
     , m_server(
           context, [this] { return limitsFrom(m_node.settings, m_policy); },
-          [this](HttpRequest request) { return handle(std::move(request)); },
+          [this](HttpRequest request, const CallerConnection &caller) {
+              return handle(std::move(request), caller);
+          },
           m_node.settings.maximumConnections)
 {
 }
 
-Task<HttpResponse> Front::handle(HttpRequest request)
+Task<HttpResponse> Front::handle(HttpRequest request, const CallerConnection &caller)
 {
     if (m_status && request.path.starts_with(operatorPrefix))
         co_return m_status->handle(request);
@@ -87,11 +89,11 @@
     if (!m_dialect.names.callToken.empty())
         token = request.header(m_dialect.names.callToken);
     if (!token.empty())
-        co_return co_await handleDownstream(std::move(request), std::move(token));
-    co_return co_await handleCaller(std::move(request));
+        co_return co_await handleDownstream(std::move(request), std::move(token), caller);
+    co_return co_await handleCaller(std::move(request), caller);
 }
 
-Task<HttpResponse> Front::handleCaller(HttpRequest request)
+Task<HttpResponse> Front::handleCaller(HttpRequest request, const CallerConnection &caller)
 {
     TimePoint start = steadyNow();
     std::string requestId {request.header(m_dialect.names.requestId)};
@@ -102,7 +104,7 @@
         co_return finish(requestId, nullptr, start, CallOutcome {std::move(*refusal)});
     AdmittedRequest admitted = std::move(std::get<AdmittedRequest>(decision));
     DepartureGuard departure(*this, requestId, admitted.service, start);
-    CallOutcome outcome = co_await runAdmitted(admitted);
+    CallOutcome outcome = co_await runAdmitted(admitted, caller);
     departure.markEnded();
     recordSaturation(admitted, outcome.saturatedService);
     co_return finish(requestId, &admitted, start, std::move(outcome));
@@ -126,7 +128,7 @@
  * Acquires a rate token and, when the request must run at most once, claims its idempotency key
  * before it is dispatched.
  */
-Task<CallOutcome> Front::runAdmitted(AdmittedRequest admitted)
+Task<CallOutcome> Front::runAdmitted(AdmittedRequest admitted, const CallerConnection &caller)
 {
     admitted.context.callerService = m_node.settings.service;
     if (!admitted.route.open) {
@@ -136,18 +138,19 @@
     }
     bool needsClaim = m_keys && !admitted.route.idempotent && !admitted.idempotencyKey.empty();
     if (!needsClaim)
-        co_return co_await m_dispatcher.dispatch(std::move(admitted));
+        co_return co_await m_dispatcher.dispatch(std::move(admitted), caller);
     KeyClaimResponse claimResponse = co_await m_keys->claim(admitted);
     if (KeyDone *done = std::get_if<KeyDone>(&claimResponse.decision))
         co_return CallOutcome {std::move(done->response)};
     if (Refusal *refusal = std::get_if<Refusal>(&claimResponse.decision))
         co_return CallOutcome {std::move(*refusal)};
-    CallOutcome outcome = co_await m_dispatcher.dispatch(admitted);
+    CallOutcome outcome = co_await m_dispatcher.dispatch(admitted, caller);
     m_keys->settle(admitted, outcome.result);
     co_return outcome;
 }
 
-Task<HttpResponse> Front::handleDownstream(HttpRequest request, std::string token)
+Task<HttpResponse> Front::handleDownstream(HttpRequest request, std::string token,
+                                           const CallerConnection &caller)
 {
     TimePoint start = steadyNow();
     std::optional<CallContext> inherited = m_calls.beginDownstream(start, token);
@@ -172,7 +175,7 @@
     if (Refusal *refusal = std::get_if<Refusal>(&decision))
         co_return finish(requestId, nullptr, start, CallOutcome {std::move(*refusal)});
     AdmittedRequest admitted = std::move(std::get<AdmittedRequest>(decision));
-    CallOutcome outcome = co_await m_dispatcher.dispatch(admitted);
+    CallOutcome outcome = co_await m_dispatcher.dispatch(admitted, caller);
     guard.remainingRetries = outcome.remainingRetries;
     guard.pathFraction = outcome.pathFraction;
     co_return finish(requestId, &admitted, start, std::move(outcome));
--- a/src/transport/front.h
+++ b/src/transport/front.h
@@ -41,10 +41,11 @@
 private:
     class DepartureGuard;
 
-    Task<HttpResponse> handle(HttpRequest request);
-    Task<HttpResponse> handleCaller(HttpRequest request);
-    Task<HttpResponse> handleDownstream(HttpRequest request, std::string token);
-    Task<CallOutcome> runAdmitted(AdmittedRequest admitted);
+    Task<HttpResponse> handle(HttpRequest request, const CallerConnection &caller);
+    Task<HttpResponse> handleCaller(HttpRequest request, const CallerConnection &caller);
+    Task<HttpResponse> handleDownstream(HttpRequest request, std::string token,
+                                        const CallerConnection &caller);
+    Task<CallOutcome> runAdmitted(AdmittedRequest admitted, const CallerConnection &caller);
     /**
      * Reports to the entry throttle or to DownstreamSaturation whether a saturated service made the
      * request fail.
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -68,7 +68,8 @@
     return std::nullopt;
 }
 
-Task<CallResult> HttpClient::exchange(HttpRequest request, Duration limit)
+Task<CallResult> HttpClient::exchange(HttpRequest request, Duration limit,
+                                      const CallerConnection *caller)
 {
     TimePoint start = steadyNow();
     std::optional<tcp::socket> socket = takeIdle();
@@ -81,6 +82,10 @@
         co_return Refusal {ErrorKind::ConnectFailed,
                            fmt::format("cannot connect to {}", toString(m_server)),
                            Execution::NotRun};
+    if (caller && caller->hasLeft()) {
+        keepIdle(std::move(*socket), defaultIdleLimit);
+        co_return callerHasLeft();
+    }
     Reuse reuse;
     Duration remaining = std::max<Duration>(1ms, limit - (steadyNow() - start));
     CallResult result;
@@ -91,11 +96,17 @@
             co_return unknownOutcome(ErrorKind::DeadlineExceeded,
                                      "no complete response before the deadline");
     }
-    if (reuse.allowed && m_idle.size() < maximumIdleConnections)
-        m_idle.push_back({std::move(*socket), steadyNow() + reuse.idleLimit});
+    if (reuse.allowed)
+        keepIdle(std::move(*socket), reuse.idleLimit);
     co_return result;
 }
 
+void HttpClient::keepIdle(tcp::socket socket, Duration idleLimit)
+{
+    if (m_idle.size() < maximumIdleConnections)
+        m_idle.push_back({std::move(socket), steadyNow() + idleLimit});
+}
+
 Task<CallResult> HttpClient::exchangeOn(tcp::socket &socket, const HttpRequest &request,
                                         Reuse &reuse)
 {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "asio.h"
+#include "caller_connection.h"
 
 #include "ibiswell/core/messages.h"
 
@@ -34,8 +35,12 @@
 public:
     explicit HttpClient(Endpoint server, HttpClientOptions options = {});
 
-    /** Sends a request and returns its result; connecting counts towards @p limit. */
-    Task<CallResult> exchange(HttpRequest request, Duration limit);
+    /**
+     * Sends a request and returns its result; connecting counts towards @p limit.
+     * @param caller Whose request it is: nothing is sent once it has left. Null: nobody can leave.
+     */
+    Task<CallResult> exchange(HttpRequest request, Duration limit,
+                              const CallerConnection *caller = nullptr);
 
     const Endpoint &server() const { return m_server; }
 
@@ -56,6 +61,7 @@
     Task<CallResult> readResponse(tcp::socket &socket, const HttpRequest &request, Reuse &reuse);
     bool isResponseTo(const HttpRequest &request, const HttpResponse &response) const;
     std::optional<tcp::socket> takeIdle();
+    void keepIdle(tcp::socket socket, Duration idleLimit);
 
     Endpoint m_server;
     HttpClientOptions m_options;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -190,7 +190,8 @@
 {
     using namespace asio::experimental::awaitable_operators;
     bool isHead = request.method == "HEAD";
-    auto ended = co_await (m_handler(std::move(request)) || waitUntilClosed(session.socket));
+    CallerConnection caller(session.socket);
+    auto ended = co_await (m_handler(std::move(request), caller) || caller.waitUntilLeft());
     if (ended.index() != 0)
         co_return false;
     bool keepsOpen = keepAlive && !m_stopping && !m_draining;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "asio.h"
+#include "caller_connection.h"
 #include "http_messages.h"
 
 #include "ibiswell/core/messages.h"
@@ -20,7 +21,8 @@
 class HttpServer
 {
 public:
-    using Handler = std::function<Task<HttpResponse>(HttpRequest request)>;
+    using Handler =
+        std::function<Task<HttpResponse>(HttpRequest request, const CallerConnection &caller)>;
     /**
      * Returns the limits on what a client may send. Called for each request, since a new policy may
      * change them.
--- a/src/transport/peer_connection_pool.cpp
+++ b/src/transport/peer_connection_pool.cpp
@@ -46,23 +46,28 @@
 
 Task<PeerReply> PeerConnectionPool::exchange(Endpoint peer, PeerMessage request, Duration limit)
 {
-    return exchangeWithin(std::move(peer), std::move(request), limit);
+    return exchangeWithin(std::move(peer), std::move(request), limit, nullptr);
 }
 
-Task<PeerReply> PeerConnectionPool::call(Endpoint peer, CallMessage call)
+Task<PeerReply> PeerConnectionPool::call(Endpoint peer, CallMessage call,
+                                         const CallerConnection &caller)
 {
     Duration limit = call.context.remainingTime;
-    return exchangeWithin(std::move(peer), PeerMessage(std::move(call)), limit);
+    return exchangeWithin(std::move(peer), PeerMessage(std::move(call)), limit, &caller);
 }
 
 Task<PeerReply> PeerConnectionPool::exchangeWithin(Endpoint peer, PeerMessage request,
-                                                   Duration limit)
+                                                   Duration limit, const CallerConnection *caller)
 {
     TimePoint deadline = steadyNow() + limit;
     std::optional<PeerConnection> connection = co_await acquire(peer, limit);
     if (!connection)
         co_return Refusal {ErrorKind::ConnectFailed,
                            fmt::format("no connection to {}", toString(peer)), Execution::NotRun};
+    if (caller && caller->hasLeft()) {
+        release(peer, std::move(*connection));
+        co_return callerHasLeft();
+    }
     PeerReply reply = connectionLost("");
     {
         SocketDeadline timeout(connection->socket(), deadline - steadyNow());
--- a/src/transport/peer_connection_pool.h
+++ b/src/transport/peer_connection_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "asio.h"
+#include "caller_connection.h"
 #include "peer_connection.h"
 
 #include "ibiswell/core/messages.h"
@@ -28,15 +29,16 @@
 
     /**
      * Sends a call and waits for its response. Without heartbeats the call ends as lost, long
-     * before its deadline.
+     * before its deadline. Nothing is sent once @p caller has left.
      */
-    Task<PeerReply> call(Endpoint peer, CallMessage call);
+    Task<PeerReply> call(Endpoint peer, CallMessage call, const CallerConnection &caller);
 
 private:
     Task<std::optional<PeerConnection>> acquire(const Endpoint &peer, Duration limit);
     Task<PeerReply> awaitReply(PeerConnection &connection, PeerMessage request);
     Task<PeerReply> awaitCallResponse(PeerConnection &connection, CallMessage call);
-    Task<PeerReply> exchangeWithin(Endpoint peer, PeerMessage request, Duration limit);
+    Task<PeerReply> exchangeWithin(Endpoint peer, PeerMessage request, Duration limit,
+                                   const CallerConnection *caller);
     void release(const Endpoint &peer, PeerConnection connection);
 
     std::map<Endpoint, std::deque<PeerConnection>> m_idle;
--- a/src/transport/peer_server.cpp
+++ b/src/transport/peer_server.cpp
@@ -94,8 +94,9 @@
 {
     using namespace asio::experimental::awaitable_operators;
     std::uint64_t callId = call.callId;
-    auto ended = co_await (m_target.run(std::move(call)) || sendHeartbeats(connection, callId)
-                           || waitUntilClosed(connection.socket()));
+    CallerConnection caller(connection.socket());
+    auto ended = co_await (m_target.run(std::move(call), caller)
+                           || sendHeartbeats(connection, callId) || caller.waitUntilLeft());
     if (ended.index() != 0)
         co_return false;
     PeerMessage reply(std::move(std::get<0>(ended)));
--- a/src/transport/target_service.cpp
+++ b/src/transport/target_service.cpp
@@ -36,6 +36,12 @@
     return options;
 }
 
+bool isCancelled(const CallResult &result)
+{
+    const Refusal *refusal = std::get_if<Refusal>(&result);
+    return refusal && refusal->kind == ErrorKind::Cancelled;
+}
+
 WorkOutcome outcomeOf(const CallResult &result)
 {
     const HttpResponse *response = std::get_if<HttpResponse>(&result);
@@ -150,7 +156,7 @@
     return std::nullopt;
 }
 
-Task<ResponseMessage> TargetService::run(CallMessage call)
+Task<ResponseMessage> TargetService::run(CallMessage call, const CallerConnection &caller)
 {
     CallTable::CallSummary summary;
     summary.remainingRetries = call.context.remainingRetries;
@@ -186,7 +192,7 @@
         }
         call.context.remainingTime -= steadyNow() - arrivedAt;
     }
-    CallResult result = co_await callBackend(call, slot, summary);
+    CallResult result = co_await callBackend(call, caller, slot, summary);
     std::string saturatedService = saturatedDownstreamService(result, slot.startedAt());
     ResponseMessage message = makeResponse(call, std::move(result), summary);
     message.saturatedService = std::move(saturatedService);
@@ -217,14 +223,14 @@
     co_return std::nullopt;
 }
 
-Task<CallResult> TargetService::callBackend(CallMessage &call, SlotGuard &slot,
-                                            CallTable::CallSummary &summary)
+Task<CallResult> TargetService::callBackend(CallMessage &call, const CallerConnection &caller,
+                                            SlotGuard &slot, CallTable::CallSummary &summary)
 {
     std::string token = m_node.makeId();
     m_calls.start(steadyNow(), token, call.context);
     slot.onStarted(token);
     HttpRequest request = makeBackendRequest(call, token);
-    auto exchanging = m_backend.exchange(std::move(request), call.context.remainingTime);
+    auto exchanging = m_backend.exchange(std::move(request), call.context.remainingTime, &caller);
     CallResult backendResult = co_await std::move(exchanging);
     CallResult result = interpret(std::move(backendResult));
     summary = slot.endCall();
@@ -232,8 +238,9 @@
         m_paths.onResponse(steadyNow(), downstreamPathKey(call), summary.pathFraction);
     Duration slotTime = steadyNow() - slot.startedAt();
     WorkOutcome outcome = outcomeOf(result);
-    slot.finish({outcome, slotTime, summary.downstreamWait,
-                 summary.downstreamCalls > 0 && outcome == WorkOutcome::Shed});
+    slot.finish(
+        {outcome, slotTime, summary.downstreamWait,
+         isCancelled(result) || (summary.downstreamCalls > 0 && outcome == WorkOutcome::Shed)});
     bool signalledByStatus =
         std::holds_alternative<HttpResponse>(result) && m_dialect.names.notExecuted.empty();
     bool shedByBackend = outcome == WorkOutcome::Shed && summary.downstreamCalls == 0;
--- a/src/transport/target_service.h
+++ b/src/transport/target_service.h
@@ -28,8 +28,11 @@
      */
     TargetService(Kernel &kernel, asio::io_context &context);
 
-    /** Runs one call to its end. Cancelling it cancels the work at the backend server. */
-    Task<ResponseMessage> run(CallMessage call);
+    /**
+     * Runs one call to its end, unless @p caller leaves before it is sent to the backend server.
+     * Cancelling it cancels the work there.
+     */
+    Task<ResponseMessage> run(CallMessage call, const CallerConnection &caller);
 
     /** Refuses calls whose deadline passes while they wait; runs until the node stops. */
     Task<void> expireWaitingCalls();
@@ -58,7 +61,7 @@
     /** Waits for the decision on a queued call; returns nullopt when the call got a slot. */
     Task<std::optional<Refusal>> awaitSlot(Ticket ticket);
     /** Sends the call to the backend server; sets @p summary when the call has ended there. */
-    Task<CallResult> callBackend(CallMessage &call, SlotGuard &slot,
+    Task<CallResult> callBackend(CallMessage &call, const CallerConnection &caller, SlotGuard &slot,
                                  CallTable::CallSummary &summary);
     /** The saturated service that made the backend server fail, or empty. */
     std::string saturatedDownstreamService(const CallResult &result, TimePoint startedAt) const;
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -101,6 +101,18 @@
     return received;
 }
 
+void sendAndLeave(int port, const std::vector<std::string> &parts, std::chrono::milliseconds pause)
+{
+    asio::io_context context;
+    tcp::socket socket(context);
+    boost::system::error_code ec;
+    socket.connect({asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)}, ec);
+    for (const std::string &bytes : parts) {
+        asio::write(socket, asio::buffer(bytes), ec);
+        std::this_thread::sleep_for(pause);
+    }
+}
+
 void sendDatagram(int port, const std::string &bytes)
 {
     asio::io_context context;
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -4,6 +4,7 @@
 
 #include <sys/types.h>
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <string>
@@ -28,6 +29,8 @@
 
 /** Sends raw bytes and returns what arrives until the peer closes or is silent for 3 s. */
 std::string sendRaw(int port, const std::string &bytes);
+/** Sends raw bytes, with @p pause after each part, and closes the connection without reading. */
+void sendAndLeave(int port, const std::vector<std::string> &parts, std::chrono::milliseconds pause);
 void sendDatagram(int port, const std::string &bytes);
 
 /** Waits up to 20 s for @p condition to hold; returns whether it did. */
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
 const std::vector<ibiswell::HeaderField> key {{"x-ibiswell-key", "the-key"}};
 
 std::vector<ibiswell::HeaderField> headersWithId(const std::string &id)
@@ -196,6 +198,21 @@
         [&] { return deployment.log(1).find("outcome=cancelled") != std::string::npos; }));
 }
 
+// Guards against the incident GONE: unread bytes do not hide that the caller has left.
+TEST_CASE("GONE: a caller that pipelines a second request and leaves cancels the work on the first")
+{
+    Deployment deployment(18800);
+    deployment.addTarget("catalogue", "a");
+    deployment.addTarget("stock", "a", {"--service-ms", "8000"});
+    deployment.applyPolicy();
+    int before = deployment.observedCounter(1, "cancelled");
+    const std::string get =
+        "GET /stock/tiles HTTP/1.1\r\nHost: x\r\nx-ibiswell-key: the-key\r\n\r\n";
+    sendAndLeave(deployment.httpPort(0), {get, get}, 300ms);
+    std::this_thread::sleep_for(1s);
+    CHECK(deployment.observedCounter(1, "cancelled") == before + 1);
+}
+
 TEST_CASE("a body in an unknown transfer coding is refused and never parsed as a request")
 {
     Deployment deployment(18700);
--- a/tests/process/platform_test.cpp
+++ b/tests/process/platform_test.cpp
@@ -332,3 +332,26 @@
     CHECK(platform.isServing(0));
     CHECK(platform.isReady(0));
 }
+
+// Guards against the incident GONE: a node that is behind reads calls and closes late.
+TEST_CASE("GONE: a request that waited at a suspended node is not run after its caller left")
+{
+    PlatformDeployment platform(19700);
+    startDefaultTargets(platform);
+    constexpr int desk = 2; // the only target of its service
+    auto sendAt = [&](int node, const std::string &id) {
+        std::string bytes = fmt::format("GET /d/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {}\r\n"
+                                        "Deadline-Ms: 3000\r\nCredential: key-1\r\n\r\n",
+                                        id);
+        sendAndLeave(platform.callerPort(node), {bytes}, 50ms);
+    };
+    platform.node(desk).signal(SIGSTOP);
+    sendAt(desk, "gone-same-node");
+    sendAt(0, "gone-other-node");
+    std::this_thread::sleep_for(300ms);
+    platform.node(desk).signal(SIGCONT);
+    REQUIRE(eventually(
+        [&] { return platform.sendRequest(desk, "GET", "/d/1", "after").status == 200; }));
+    CHECK(platform.countExecutions("gone-same-node") == 0);
+    CHECK(platform.countExecutions("gone-other-node") == 0);
+}
--- a/tests/standins/serve_standin.h
+++ b/tests/standins/serve_standin.h
@@ -14,11 +14,15 @@
  *
  * @return the exit code: 1 if the port cannot be bound; the reason is written to standard error.
  */
-inline int serveStandin(asio::io_context &context, std::uint16_t port, HttpServer::Handler handler)
+inline int serveStandin(asio::io_context &context, std::uint16_t port,
+                        std::function<Task<HttpResponse>(HttpRequest request)> handler)
 {
     std::signal(SIGPIPE, SIG_IGN);
     HttpServer server(
-        context, [] { return CallerLimits {}; }, std::move(handler));
+        context, [] { return CallerLimits {}; },
+        [handler = std::move(handler)](HttpRequest request, const CallerConnection &) {
+            return handler(std::move(request));
+        });
     if (!server.listen({"127.0.0.1", port})) {
         fmt::print(stderr, "{}\n", server.lastError()->detail);
         return 1;
--- a/tests/target_service_test.cpp
+++ b/tests/target_service_test.cpp
@@ -84,6 +84,22 @@
                        id, body.size(), body);
 }
 
+/** A caller and the connection on which the node accepted its calls. */
+struct ConnectedCaller
+{
+    explicit ConnectedCaller(asio::io_context &context)
+        : caller(context)
+        , accepted(context)
+    {
+        tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        caller.connect(acceptor.local_endpoint());
+        acceptor.accept(accepted);
+    }
+
+    tcp::socket caller;
+    tcp::socket accepted;
+};
+
 /** The node of a target with one slot, and the services that TargetService looks up. */
 struct OneSlotNode
 {
@@ -115,7 +131,10 @@
         kernel.add<TargetService>("target", kernel, context);
     }
 
-    void call(std::uint64_t id)
+    void call(std::uint64_t id) { call(id, m_caller.accepted); }
+
+    /** Starts a call that arrived on @p connection. */
+    void call(std::uint64_t id, tcp::socket &connection)
     {
         CallMessage message;
         message.callId = id;
@@ -125,12 +144,13 @@
         message.context.remainingTime = 5s;
         message.request.method = "GET";
         message.request.path = "/";
-        asio::co_spawn(context, run(std::move(message)), asio::detached);
+        asio::co_spawn(context, run(std::move(message), CallerConnection(connection)),
+                       asio::detached);
     }
 
-    Task<void> run(CallMessage message)
+    Task<void> run(CallMessage message, CallerConnection caller)
     {
-        auto running = kernel.get<TargetService>("target").run(std::move(message));
+        auto running = kernel.get<TargetService>("target").run(std::move(message), caller);
         responses.push_back(co_await std::move(running));
     }
 
@@ -159,6 +179,9 @@
     asio::io_context &context;
     FakeBackend backend;
     std::vector<ResponseMessage> responses;
+
+private:
+    ConnectedCaller m_caller {context}; ///< The caller of most calls, which never leaves.
 };
 
 } // namespace
@@ -261,3 +284,28 @@
     REQUIRE(node.runUntil([&] { return node.responses.size() == 2; }));
     CHECK(node.responses.back().saturatedService.empty());
 }
+
+// Guards against the incident GONE: a call that waited is not run once its caller has left.
+TEST_CASE("GONE: a call whose caller left while it waited for a slot is not sent when it gets one")
+{
+    OneSlotNode node;
+    TargetAdmission &admission = node.kernel.get<TargetAdmission>("admission");
+    ConnectedCaller leaving(node.context);
+    node.call(1);
+    REQUIRE(node.runUntil([&] { return node.backend.hasRequest(1); }));
+    node.call(2, leaving.accepted);
+    REQUIRE(node.runUntil([&] { return admission.queued() == 1; }));
+
+    // Bytes that nobody reads hide the end of the connection from a reader.
+    asio::write(leaving.caller, asio::buffer("unread", 6));
+    leaving.caller.close();
+    node.backend.send(completeResponse(1));
+    REQUIRE(node.runUntil([&] { return node.responses.size() == 2; }));
+
+    const Refusal *refusal = std::get_if<Refusal>(&node.responses.back().result);
+    REQUIRE(refusal);
+    CHECK((refusal->kind == ErrorKind::Cancelled));
+    CHECK((refusal->execution == Execution::NotRun));
+    CHECK_FALSE(node.backend.hasRequest(2));
+    CHECK(admission.inFlight() == 0);
+}
