Rank the holders of rate shares once for all teams

Cause: before it sent token requests, an entry node ranked all known nodes for each share of each team, with a list of all nodes built each time. On the grown site that is 73 teams and 63 nodes, each 20 ms and for each waiting request.

Change: the distance to a share is worked out once for a call of sendTokenRequests(). The result is the same.

--- a/src/transport/rate_service.cpp
+++ b/src/transport/rate_service.cpp
@@ -154,7 +154,13 @@
 
 void RateService::sendTokenRequests()
 {
-    auto distance = [this](std::uint32_t share) { return distanceTo(share); };
+    std::map<std::uint32_t, std::optional<int>> distances; // ranked once for all teams
+    auto distance = [&](std::uint32_t share) {
+        auto [it, isNew] = distances.try_emplace(share);
+        if (isNew)
+            it->second = distanceTo(share);
+        return it->second;
+    };
     std::vector<SendTokenRequest> requests =
         m_tokenCache.takeRequests(steadyNow(), m_policy.policy(), distance);
     for (SendTokenRequest &request : requests)
