Limit a target's calls in flight by what the processor of its node carries

Cause: backend servers of the two lowest services have 437 and 145 slots, and each request makes five calls through the node beside the upper one. That node's 0.4 cores carry about 300 such requests a second, but it let in as many as the server has slots. All of them then slowed down until they missed their deadlines.

Change: NodeLoadLimit lowers the limit of calls in flight while events wait more than 10 ms for their handlers, measured by LoopMonitor each 50 ms, and raises it slowly otherwise. What exceeds it is refused as not run by the full queue, which the entry throttle already answers at the first node.

--- a/include/ibiswell/decisions/target_admission.h
+++ b/include/ibiswell/decisions/target_admission.h
@@ -6,7 +6,9 @@
 #include "ibiswell/decisions/concurrency_limit.h"
 #include "ibiswell/decisions/demand_shares.h"
 #include "ibiswell/decisions/fair_queue.h"
+#include "ibiswell/decisions/node_load_limit.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -66,6 +68,12 @@
 public:
     /** Sets how many calls the backend server runs at once; replaces the learned limit. */
     void setSlots(int slots) { m_slots = slots; }
+    int slots() const { return m_slots > 0 ? m_slots : m_limit.limit(); }
+    /** Records how long an event of this node waited for its handler; see NodeLoadLimit. */
+    void onEventDelay(TimePoint now, Duration delay)
+    {
+        m_nodeLoad.onEventDelay(now, delay, inFlight(), slots());
+    }
     /** Limits call starts per second while the backend server is cold; 0: no limit. */
     void setColdStartRate(double startsPerSecond) { m_pacer.setRate(startsPerSecond); }
     /** Refuses all calls that wait, for example because the backend server is leaving. */
@@ -91,7 +99,7 @@
     /** The admitted fraction that an admitted call passes on to its downstream calls. */
     double forwardedFraction(const Arrival &arrival) const;
 
-    int limit() const { return m_slots > 0 ? m_slots : m_limit.limit(); }
+    int limit() const { return std::min(slots(), m_nodeLoad.limit().value_or(slots())); }
     int inFlight() const { return static_cast<int>(m_running.size()); }
     std::size_t queued() const { return m_queue.size(); }
     double worstFraction() const { return m_shares.worstFraction(); }
@@ -130,6 +138,7 @@
     void recordSlotTime(const std::string &route, Duration slotTime);
 
     ConcurrencyLimit m_limit;
+    NodeLoadLimit m_nodeLoad;
     ColdStartPacer m_pacer;
     int m_slots = 0; ///< 0: not set.
     DemandShares m_shares;
--- a/src/transport/loop_monitor.cpp
+++ b/src/transport/loop_monitor.cpp
@@ -12,7 +12,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration probeInterval = 100ms;
+constexpr Duration probeInterval = 50ms;
 constexpr Duration loggedDelay = 100ms; // a delay of at least this is logged
 constexpr Duration logInterval = 1s;
 
@@ -67,6 +67,7 @@
         TimePoint now = steadyNow();
         m_lastDelay = m_probeSentAt ? now - *m_probeSentAt : Duration::zero();
         m_probeSentAt.reset();
+        m_admission.onEventDelay(now, m_lastDelay);
         if (m_lastDelay >= loggedDelay)
             logDelay(now);
     }
@@ -82,6 +83,7 @@
                 {{"delay_ms", fmt::format("{:.0f}", inSeconds(m_lastDelay) * 1000)},
                  {"in_flight", fmt::to_string(m_admission.inFlight())},
                  {"queued", fmt::to_string(m_admission.queued())},
+                 {"limit", fmt::to_string(m_admission.limit())},
                  {"cores", fmt::format("{:.3f}", cores)},
                  {"over_s", fmt::format("{:.1f}", inSeconds(now - m_loggedAt))}});
     m_loggedAt = now;
--- a/src/transport/loop_monitor.h
+++ b/src/transport/loop_monitor.h
@@ -26,7 +26,7 @@
 
     /** Sends a byte through the pipe periodically; runs until the node stops. */
     Task<void> sendProbes();
-    /** Receives the bytes and logs delays; runs until the node stops. */
+    /** Receives the bytes, reports delays to the admission and logs them; runs until the end. */
     Task<void> receiveProbes();
 
     /** The last measured delay, or the age of the byte under way when that is longer. */
