Accept all connections that have arrived, not one in each pass of the loop

Cause: the accept loops took one connection, and the next one only after all other handlers that were ready. On a busy node a pass takes tens of milliseconds, so a few dozen connections a second were accepted. A cancelled call closes its connection and the next call needs a new one: the more calls timed out, the more waited to be accepted. The calls waited in the system's queue for 0.5 to 1.5 s, without a heartbeat or a limit that could see them. Class of fault: a queue that is served one item a pass while others are served in batches.

--- a/src/transport/asio.h
+++ b/src/transport/asio.h
@@ -123,23 +123,4 @@
     return tcp::endpoint(address, endpoint.port);
 }
 
-/** Opens @p acceptor on @p endpoint; returns the error when the address is not available. */
-inline std::optional<Error> openAcceptor(tcp::acceptor &acceptor, const Endpoint &endpoint)
-{
-    std::optional<tcp::endpoint> local = toTcpEndpoint(endpoint);
-    boost::system::error_code ec = asio::error::invalid_argument;
-    if (local)
-        acceptor.open(local->protocol(), ec);
-    if (!ec)
-        acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-    if (!ec)
-        acceptor.bind(*local, ec);
-    if (!ec)
-        acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    if (!ec)
-        return std::nullopt;
-    return Error {ErrorKind::InvalidSetting,
-                  "cannot listen on " + toString(endpoint) + ": " + ec.message()};
-}
-
 } // namespace ibiswell
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,5 +1,6 @@
 #include "http_server.h"
 
+#include "acceptor.h"
 #include "http_messages.h"
 #include "socket_deadline.h"
 
@@ -102,17 +103,12 @@
 
 Task<void> HttpServer::acceptLoop()
 {
-    using namespace std::chrono_literals;
-    while (!m_stopping) {
-        auto [ec, socket] = co_await m_acceptor.async_accept(asResult);
-        if (ec == asio::error::operation_aborted || !m_acceptor.is_open())
-            co_return;
-        if (ec) {
-            co_await sleepFor(10ms); // out of file descriptors: wait until some are closed
-            continue;
+    while (!m_stopping && m_acceptor.is_open()) {
+        std::vector<tcp::socket> accepted = co_await acceptPending(m_acceptor);
+        for (tcp::socket &socket : accepted) {
+            m_sessions.emplace_back(std::move(socket));
+            asio::co_spawn(m_context, serve(std::prev(m_sessions.end())), asio::detached);
         }
-        m_sessions.emplace_back(std::move(socket));
-        asio::co_spawn(m_context, serve(std::prev(m_sessions.end())), asio::detached);
     }
 }
 
--- a/src/transport/peer_server.cpp
+++ b/src/transport/peer_server.cpp
@@ -1,5 +1,6 @@
 #include "peer_server.h"
 
+#include "acceptor.h"
 #include "gossip.h"
 #include "key_service.h"
 #include "peer_connection_pool.h"
@@ -41,16 +42,13 @@
 
 Task<void> PeerServer::acceptLoop()
 {
-    using namespace std::chrono_literals;
     while (m_acceptor.is_open()) {
-        auto [ec, socket] = co_await m_acceptor.async_accept(asResult);
-        if (ec && m_acceptor.is_open())
-            co_await sleepFor(10ms); // out of descriptors: wait for some to be freed
-        if (ec)
-            continue;
-        boost::system::error_code ignored;
-        socket.set_option(tcp::no_delay(true), ignored);
-        asio::co_spawn(m_context, serve(PeerConnection(std::move(socket))), asio::detached);
+        std::vector<tcp::socket> accepted = co_await acceptPending(m_acceptor);
+        for (tcp::socket &socket : accepted) {
+            boost::system::error_code ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            asio::co_spawn(m_context, serve(PeerConnection(std::move(socket))), asio::detached);
+        }
     }
 }
 
