--- a/include/ibiswell/core/dialect.h
+++ b/include/ibiswell/core/dialect.h
@@ -40,6 +40,8 @@
     std::string expectedInstance; ///< Instance that must run the request; sent with the request.
     std::string signature; ///< Proves that a response is a backend server's; passed on unchanged.
     std::string notExecuted; ///< Present in a response if the request certainly did not run.
+    std::string admittedRate; ///< In a response: requests a second that the server takes at most.
+    std::string leaving; ///< Present in a response if the backend server takes no new work.
     std::string execution; ///< Execution of a refused request, reported to the caller.
 };
 
--- a/include/ibiswell/decisions/target_admission.h
+++ b/include/ibiswell/decisions/target_admission.h
@@ -7,6 +7,7 @@
 #include "ibiswell/decisions/demand_shares.h"
 #include "ibiswell/decisions/fair_queue.h"
 #include "ibiswell/decisions/node_load_limit.h"
+#include "ibiswell/decisions/stated_rate_limit.h"
 
 #include <algorithm>
 #include <map>
@@ -76,6 +77,16 @@
     }
     /** Limits call starts per second while the backend server is cold; 0: no limit. */
     void setColdStartRate(double startsPerSecond) { m_pacer.setRate(startsPerSecond); }
+    /** Limits call starts to the rate that the backend server states; nothing: it states none. */
+    void setStatedRate(std::optional<double> startsPerSecond)
+    {
+        m_statedRate.setRate(startsPerSecond);
+    }
+    /**
+     * Lets only a few calls run until the backend server has responded: it may state a rate, of
+     * which a node that has just started knows nothing.
+     */
+    void awaitFirstResponse() { m_isFirstResponseAwaited = true; }
     /** Refuses all calls that wait, for example because the backend server is leaving. */
     std::vector<AdmissionEffect> refuseWaiting(ErrorKind kind);
 
@@ -99,7 +110,7 @@
     /** The admitted fraction that an admitted call passes on to its downstream calls. */
     double forwardedFraction(const Arrival &arrival) const;
 
-    int limit() const { return std::min(slots(), m_nodeLoad.limit().value_or(slots())); }
+    int limit() const;
     int inFlight() const { return static_cast<int>(m_running.size()); }
     std::size_t queued() const { return m_queue.size(); }
     double worstFraction() const { return m_shares.worstFraction(); }
@@ -125,8 +136,10 @@
     std::vector<AdmissionEffect> refuse(Ticket ticket, ErrorKind kind) const;
     std::vector<AdmissionEffect> enqueue(const Arrival &arrival, WaitingCall call);
     void start(TimePoint now, const std::string &route, const WaitingCall &call);
-    bool canStartCall(TimePoint now) { return inFlight() < limit() && m_pacer.mayStart(now); }
-    /** The limit, or, if lower, the concurrency that a cold server's start rate results in. */
+    bool canStartCall(TimePoint now);
+    /** The bound on call starts per second, of a cold start or stated; nothing if there is none. */
+    std::optional<double> startRate() const;
+    /** The limit, or, if lower, the concurrency that a bounded start rate results in. */
     double sustainableConcurrency() const;
     void startWaiting(TimePoint now, std::vector<AdmissionEffect> &effects);
     Duration expectedSlotTime(const std::string &route) const;
@@ -140,6 +153,8 @@
     ConcurrencyLimit m_limit;
     NodeLoadLimit m_nodeLoad;
     ColdStartPacer m_pacer;
+    StatedRateLimit m_statedRate;
+    bool m_isFirstResponseAwaited = false;
     int m_slots = 0; ///< 0: not set.
     DemandShares m_shares;
     FairQueue m_queue;
--- a/include/ibiswell/decisions/target_gate.h
+++ b/include/ibiswell/decisions/target_gate.h
@@ -21,6 +21,14 @@
     int slots = 0; ///< Number of requests that the backend server runs at once.
 };
 
+/** What a backend server states about itself in a response. */
+struct TargetStatement
+{
+    /** Requests a second that it takes from the whole fleet; nothing: it states no limit. */
+    std::optional<double> requestsPerSecond;
+    bool leaving = false;
+};
+
 /** Effect of a report on the gate. */
 enum class ReportOutcome : std::uint8_t { Stale, OtherService, Refreshed, Opened, Closed };
 
@@ -43,6 +51,11 @@
     ReportOutcome onReport(TimePoint now, const TargetReport &report);
     /** Closes the gate because @p instance leaves; false when another instance has replaced it. */
     bool onDeparture(const std::string &instance);
+    /**
+     * Handles what the backend server states in a response. A statement that it leaves has the
+     * effect of a report; the stated rate holds until the next statement or start.
+     */
+    void onStatement(const TargetStatement &statement);
     /**
      * Closes the gate until the next report, because no connection could be made or another
      * instance responded.
@@ -60,6 +73,9 @@
     bool isCold(TimePoint now) const { return m_coldUntilReport || now < m_coldUntil; }
     const std::string &instance() const { return m_instance; }
     int slots() const { return m_slots; }
+    /** Time of the backend server's start, as it reported; identifies the start. */
+    std::int64_t startedAtMs() const { return m_startedAtMs; }
+    std::optional<double> statedRate() const { return m_statedRate; }
 
 private:
     enum class State : std::uint8_t { Unknown, Open, Leaving, Unreachable };
@@ -74,6 +90,7 @@
     TimePoint m_coldUntil;
     bool m_coldUntilReport = false;
     int m_slots = 0;
+    std::optional<double> m_statedRate;
 };
 
 } // namespace ibiswell
--- a/src/decisions/target_admission.cpp
+++ b/src/decisions/target_admission.cpp
@@ -16,6 +16,7 @@
 constexpr double queueFractionOfRemainingTime = 0.2;
 constexpr double slotTimeSmoothing = 0.05; // weight of a new sample in the moving average
 constexpr double minimumConcurrency = 0.05; // in calls
+constexpr int callsBeforeFirstResponse = 4; // in flight
 /** Factor on the fraction for downstream calls: refusing them wastes their callers' work. */
 constexpr double downstreamCallFactor = 1.15;
 
@@ -48,11 +49,32 @@
     return fromSeconds(calls * m_meanSlotSeconds / sustainableConcurrency());
 }
 
+int TargetAdmission::limit() const
+{
+    int limit = std::min(slots(), m_nodeLoad.limit().value_or(slots()));
+    return m_isFirstResponseAwaited ? std::min(limit, callsBeforeFirstResponse) : limit;
+}
+
+bool TargetAdmission::canStartCall(TimePoint now)
+{
+    return inFlight() < limit() && m_statedRate.mayStart(now) && m_pacer.mayStart(now);
+}
+
+std::optional<double> TargetAdmission::startRate() const
+{
+    std::optional<double> rate;
+    if (m_pacer.isBounded())
+        rate = m_pacer.rate();
+    if (m_statedRate.isBounded())
+        rate = std::min(m_statedRate.rate(), rate.value_or(m_statedRate.rate()));
+    return rate;
+}
+
 double TargetAdmission::sustainableConcurrency() const
 {
     double concurrency = limit();
-    if (m_pacer.isBounded())
-        concurrency = std::min(concurrency, m_pacer.rate() * m_meanSlotSeconds);
+    if (std::optional<double> rate = startRate())
+        concurrency = std::min(concurrency, *rate * m_meanSlotSeconds);
     return std::max(concurrency, minimumConcurrency);
 }
 
@@ -140,6 +162,7 @@
 void TargetAdmission::start(TimePoint now, const std::string &route, const WaitingCall &call)
 {
     m_pacer.onStart(now);
+    m_statedRate.onStart(now);
     Running running {route,
                      call.team,
                      call.priority,
@@ -160,6 +183,8 @@
     Running call = std::move(found->second);
     m_running.erase(found);
     m_queue.charge(call.priority, call.team, call.weight, result.slotTime - call.charged);
+    if (result.outcome != WorkOutcome::Failed)
+        m_isFirstResponseAwaited = false;
     if (!result.abandoned) {
         if (result.outcome == WorkOutcome::Completed)
             recordSlotTime(call.route, result.slotTime);
@@ -233,10 +258,11 @@
     report.limit = static_cast<std::uint32_t>(std::max(1.0, sustainableConcurrency()));
     report.serviceTime =
         m_meanSlotSeconds > 0 ? fromSeconds(m_meanSlotSeconds) : slotTimeBeforeLearned;
-    // When the start rate of a cold backend server keeps at most one slot busy, calls follow each
+    // When the start rate of a backend server keeps at most one slot busy, calls follow each
     // other at the interval between two starts.
-    if (m_pacer.isBounded() && sustainableConcurrency() <= 1)
-        report.serviceTime = std::max(report.serviceTime, fromSeconds(1 / m_pacer.rate()));
+    std::optional<double> rate = startRate();
+    if (rate && sustainableConcurrency() <= 1)
+        report.serviceTime = std::max(report.serviceTime, fromSeconds(1 / *rate));
     return report;
 }
 
--- a/src/decisions/target_gate.cpp
+++ b/src/decisions/target_gate.cpp
@@ -22,6 +22,8 @@
     bool isSameStart = report.instance == m_instance && report.startedAtMs == m_startedAtMs;
     bool isAlreadyLeaving = isSameStart && m_state == State::Leaving;
     State before = m_state;
+    if (!isSameStart)
+        m_statedRate.reset();
     m_instance = report.instance;
     m_startedAtMs = report.startedAtMs;
     m_sequence = report.sequence;
@@ -43,6 +45,13 @@
     return true;
 }
 
+void TargetGate::onStatement(const TargetStatement &statement)
+{
+    m_statedRate = statement.requestsPerSecond;
+    if (statement.leaving)
+        m_state = State::Leaving;
+}
+
 void TargetGate::onUnreachable()
 {
     if (m_state == State::Open)
--- a/src/transport/target_monitor.cpp
+++ b/src/transport/target_monitor.cpp
@@ -43,7 +43,10 @@
 ReportOutcome TargetMonitor::onReport(const TargetReport &report)
 {
     m_readError.clear();
+    std::int64_t knownStart = m_gate.startedAtMs();
     ReportOutcome outcome = m_gate.onReport(steadyNow(), report);
+    if (m_gate.startedAtMs() != knownStart)
+        m_admission.awaitFirstResponse();
     applyGate();
     if (outcome != ReportOutcome::Refreshed)
         m_log.write(steadyNow(), LogLevel::Info, "target",
@@ -90,6 +93,7 @@
     bool isPaced = service != services.end() && m_gate.isCold(steadyNow());
     m_admission.setColdStartRate(isPaced ? service->second.coldRequestsPerSecond : 0);
     m_admission.setSlots(m_gate.slots());
+    m_admission.setStatedRate(m_gate.statedRate());
     if (!takesWork())
         m_target.apply(m_admission.refuseWaiting(ErrorKind::TargetLeaving));
     if (m_node.stopping)
--- a/src/transport/target_service.cpp
+++ b/src/transport/target_service.cpp
@@ -4,6 +4,9 @@
 
 #include <fmt/format.h>
 
+#include <charconv>
+#include <cmath>
+
 namespace ibiswell {
 
 namespace {
@@ -36,6 +39,16 @@
     return options;
 }
 
+/** Reads a rate in requests a second; nothing when @p text is not a number from 0. */
+std::optional<double> readRate(std::string_view text)
+{
+    double rate = 0;
+    const char *end = text.data() + text.size();
+    auto [parsed, ec] = std::from_chars(text.data(), end, rate);
+    bool isRate = ec == std::errc {} && parsed == end && std::isfinite(rate) && rate >= 0;
+    return isRate ? std::optional(rate) : std::nullopt;
+}
+
 bool isCancelled(const CallResult &result)
 {
     const Refusal *refusal = std::get_if<Refusal>(&result);
@@ -132,6 +145,7 @@
     , m_gate(kernel.find<TargetGate>("target-gate"))
     , m_downstreamSaturation(kernel.find<DownstreamSaturation>("broken-calls"))
     , m_decisions(kernel.get<DecisionLog>("decisions"))
+    , m_log(kernel.get<Log>("log"))
     , m_backend(m_node.settings.backend, optionsFor(m_dialect))
 {
 }
@@ -263,6 +277,8 @@
         m_gate->onUnreachable();
         return notRun(ErrorKind::TargetReplaced, "another instance uses the address");
     }
+    if (m_gate)
+        applyStatement(response);
     if (!names.notExecuted.empty() && response.hasHeader(names.notExecuted))
         return notRun(
             ErrorKind::BackendShed,
@@ -274,6 +290,25 @@
     return result;
 }
 
+void TargetService::applyStatement(const HttpResponse &response)
+{
+    TargetStatement statement;
+    statement.requestsPerSecond = readRate(response.header(m_dialect.names.admittedRate));
+    statement.leaving = response.hasHeader(m_dialect.names.leaving);
+    bool changed = statement.requestsPerSecond != m_gate->statedRate()
+        || (statement.leaving && m_gate->isOpen());
+    m_gate->onStatement(statement);
+    m_admission.setStatedRate(statement.requestsPerSecond);
+    if (!changed)
+        return;
+    std::string rate =
+        statement.requestsPerSecond ? fmt::to_string(*statement.requestsPerSecond) : "";
+    m_log.write(steadyNow(), LogLevel::Info, "target-statement",
+                {{"instance", m_gate->instance()},
+                 {"requests_per_s", std::move(rate)},
+                 {"leaving", statement.leaving ? "yes" : "no"}});
+}
+
 HttpRequest TargetService::makeBackendRequest(CallMessage &call, const std::string &token) const
 {
     HttpRequest request = std::move(call.request);
--- a/src/transport/target_service.h
+++ b/src/transport/target_service.h
@@ -23,8 +23,8 @@
 {
 public:
     /**
-     * Looks up "node", "dialect", "policy", "admission", "paths", "calls", "decisions" and, where
-     * registered, "target-gate" and "broken-calls".
+     * Looks up "node", "dialect", "policy", "admission", "paths", "calls", "decisions", "log" and,
+     * where registered, "target-gate" and "broken-calls".
      */
     TargetService(Kernel &kernel, asio::io_context &context);
 
@@ -68,6 +68,8 @@
     HttpRequest makeBackendRequest(CallMessage &call, const std::string &token) const;
     ResponseMessage makeResponse(const CallMessage &call, CallResult result,
                                  const CallTable::CallSummary &summary) const;
+    /** Applies what the backend server states about itself in a response. */
+    void applyStatement(const HttpResponse &response);
     /** Converts the backend server's response to a call result by the rules of the dialect. */
     CallResult interpret(CallResult result);
 
@@ -82,6 +84,7 @@
     /** Null where downstream calls carry a call token. */
     const DownstreamSaturation *m_downstreamSaturation;
     DecisionLog &m_decisions;
+    Log &m_log;
     HttpClient m_backend;
     std::unordered_map<Ticket, WaitingCall> m_waitingCalls;
 };
--- a/tests/process/platform_test.cpp
+++ b/tests/process/platform_test.cpp
@@ -355,3 +355,49 @@
     CHECK(platform.countExecutions("gone-same-node") == 0);
     CHECK(platform.countExecutions("gone-other-node") == 0);
 }
+
+// Guards against the incident LIMIT, also while the node beside the target restarts.
+TEST_CASE("LIMIT: a target that states a rate gets no more from all nodes together")
+{
+    PlatformDeployment platform(19800);
+    startDefaultTargets(platform);
+    constexpr int desk = 2; // the only target of its service
+    constexpr int rate = 5; // requests a second
+    constexpr auto window = 4s;
+    constexpr double maximumInWindow = 1.5 * rate * 4 + 5;
+    auto countInWindow = [&](const std::string &id) {
+        auto end = std::chrono::steady_clock::now() + window;
+        for (int i = 0; std::chrono::steady_clock::now() < end; ++i)
+            platform.sendRequest(i % 2, "GET", "/d/1", id);
+        return platform.countExecutions(id);
+    };
+    CHECK(countInWindow("not-limited") > maximumInWindow);
+    platform.controlTarget(desk, R"({"limit": 5})");
+    REQUIRE(platform.sendRequest(0, "GET", "/d/1", "states-limit").status == 200);
+    int limited = countInWindow("limited");
+    CHECK(limited <= maximumInWindow);
+    CHECK(limited >= rate * 4 / 2);
+    platform.node(desk).signal(SIGKILL);
+    platform.removeNode(desk);
+    platform.startNode(desk);
+    CHECK(countInWindow("limited-after-restart") <= maximumInWindow);
+    platform.controlTarget(desk, R"({"limit": 0})");
+    REQUIRE(eventually(
+        [&] { return platform.sendRequest(0, "GET", "/d/1", "states-none").status == 200; }));
+    CHECK(countInWindow("not-limited-again") > maximumInWindow);
+}
+
+TEST_CASE("platform: a target whose response states that it leaves gets no further request")
+{
+    PlatformDeployment platform(19900);
+    startDefaultTargets(platform);
+    platform.controlTarget(0, R"({"leaving": true})");
+    auto servedBy = [&](int i) {
+        return platform.sendRequest(i % 3, "GET", "/x/1", fmt::format("leaving-{}", i)).body;
+    };
+    std::string closing = R"("instance":"i-0")";
+    int served = 0;
+    for (int i = 0; i < 40; ++i)
+        served += servedBy(i).find(closing) != std::string::npos ? 1 : 0;
+    CHECK(served == 1);
+}
--- a/tests/standins/target_standin.cpp
+++ b/tests/standins/target_standin.cpp
@@ -3,9 +3,11 @@
  * to requests with a signature and their ids, and counts how often each ran.
  *
  * GET /ran?ID            how often the request with this id ran here
- * POST /say {"state": "ready" | "draining", "report": false, "lose": N, "shed": N}
- *                        sets the state in the heartbeats, whether to send heartbeats, and how
- *                        many of the next requests to leave without a response and to reject
+ * POST /say {"state": "ready" | "draining", "report": false, "lose": N, "shed": N,
+ *            "limit": N, "leaving": true}
+ *                        sets the state in the heartbeats, whether to send heartbeats, how many of
+ *                        the next requests to leave without a response and to reject, and the rate
+ *                        (0: none) and the leaving that its responses state
  */
 
 #include "http_client.h"
@@ -74,8 +76,13 @@
                            {"caller", std::string(request.header("Caller-Service"))},
                            {"key", std::string(request.header("Credential"))},
                            {"body", request.body}};
-        co_return HttpResponse {
+        HttpResponse response {
             200, {{"Attempt-Id", id}, {"Response-Signature", "sig-" + id}}, json::serialize(body)};
+        if (m_statedRate > 0)
+            response.headers.push_back({"Server-Limit", fmt::format("{}.0", m_statedRate)});
+        if (m_statesLeaving)
+            response.headers.push_back({"Server-Leaving", "1"});
+        co_return response;
     }
 
 private:
@@ -91,6 +98,8 @@
         reader.readBoolean("report", m_sendsHeartbeats);
         reader.readInteger("lose", {0, 1000}, m_responsesToLose);
         reader.readInteger("shed", {0, 1000}, m_requestsToShed);
+        reader.readInteger("limit", {0, 1000}, m_statedRate);
+        reader.readBoolean("leaving", m_statesLeaving);
         return {errors.isEmpty() ? 200 : 400, {}, errors.text()};
     }
 
@@ -123,6 +132,8 @@
     bool m_sendsHeartbeats = true;
     int m_responsesToLose = 0;
     int m_requestsToShed = 0;
+    int m_statedRate = 0; ///< Requests a second; 0: the responses state none.
+    bool m_statesLeaving = false;
     std::map<std::string, int> m_executions;
 };
 
