Trust a refusal of a backend server only when it names the request

Report of other operators: a faulty target wrote an earlier refusal once more on a kept connection, and clients were told "not run" for requests that ran.

It can happen here: a response without the request's id was taken as the answer to whatever request was under way, so a repeated 503 or 421 without an id was passed on as not run, and a repeated 421 also closed the gate. A refusal that names another request was discarded before and still is.

Change: where responses name their requests, one without a name leaves the outcome unknown and its connection is closed.

Tests: "REFUSED: ..." failed before (not run in place of unknown, twice; gate closed). The target stand-in now names the request in its refusals, as the users' targets do.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -155,6 +155,9 @@
         response.status = static_cast<int>(message.result_int());
         response.headers = endToEndFields(message);
         response.body = std::move(message.body());
+        if (!namesRequest(response))
+            co_return unknownOutcome(ErrorKind::ResponseTruncated,
+                                     "the response does not name its request");
         if (!isResponseTo(request, response))
             continue;
         reuse = {keepAlive && buffer.size() == 0 && discarded == 0, idleLimit};
@@ -166,10 +169,13 @@
 
 bool HttpClient::isResponseTo(const HttpRequest &request, const HttpResponse &response) const
 {
-    if (m_options.echoedField.empty())
-        return true;
-    std::string_view echoed = response.header(m_options.echoedField);
-    return echoed.empty() || echoed == request.header(m_options.echoedField);
+    const std::string &field = m_options.echoedField;
+    return field.empty() || response.header(field) == request.header(field);
+}
+
+bool HttpClient::namesRequest(const HttpResponse &response) const
+{
+    return m_options.echoedField.empty() || response.hasHeader(m_options.echoedField);
 }
 
 } // namespace ibiswell
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -13,7 +13,10 @@
 /** Adapts the client to a server that does not use HTTP in the default way. */
 struct HttpClientOptions
 {
-    /** Request field that the server echoes; a response with another value is discarded. */
+    /**
+     * Request field that the server echoes; a response with another value is discarded, and one
+     * without it leaves the outcome unknown.
+     */
     std::string echoedField;
     /** Whether the request's Host field is sent to the server unchanged. */
     bool preserveHost = false;
@@ -59,6 +62,8 @@
 
     Task<CallResult> exchangeOn(tcp::socket &socket, const HttpRequest &request, Reuse &reuse);
     Task<CallResult> readResponse(tcp::socket &socket, const HttpRequest &request, Reuse &reuse);
+    /** False for a response without the echoed field: it may belong to any request. */
+    bool namesRequest(const HttpResponse &response) const;
     bool isResponseTo(const HttpRequest &request, const HttpResponse &response) const;
     std::optional<tcp::socket> takeIdle();
     void keepIdle(tcp::socket socket, Duration idleLimit);
--- a/tests/standins/target_standin.cpp
+++ b/tests/standins/target_standin.cpp
@@ -62,9 +62,10 @@
             co_return HttpResponse {200, {}, std::to_string(m_executions[request.path.substr(5)])};
         std::string id {request.header("Attempt-Id")};
         if (request.header("Expected-Instance") != m_options.instance)
-            co_return HttpResponse {421, {{"Instance-Id", m_options.instance}}, {}};
+            co_return HttpResponse {
+                421, {{"Attempt-Id", id}, {"Instance-Id", m_options.instance}}, {}};
         if (m_requestsToShed > 0 && m_requestsToShed-- > 0)
-            co_return HttpResponse {503, {{"Not-Executed", "1"}}, {}};
+            co_return HttpResponse {503, {{"Attempt-Id", id}, {"Not-Executed", "1"}}, {}};
         ++m_executions[id];
         co_await sleepFor(workTime);
         if (m_responsesToLose > 0 && m_responsesToLose-- > 0)
--- a/tests/target_service_test.cpp
+++ b/tests/target_service_test.cpp
@@ -309,3 +309,52 @@
     CHECK_FALSE(node.backend.hasRequest(2));
     CHECK(admission.inFlight() == 0);
 }
+
+TEST_CASE("REFUSED: a refusal that does not name the request does not state that it has not run")
+{
+    // A faulty backend server may send an earlier refusal once more on a connection in use.
+    const std::string repeated =
+        "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    const std::string misdirected = "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n";
+    const std::string otherRefusal = "HTTP/1.1 503 Full\r\nAttempt-Id: request-1\r\nNot-Executed: "
+                                     "1\r\nContent-Length: 0\r\n\r\n";
+    OneSlotNode node;
+    const Refusal *first = std::get_if<Refusal>(&node.respondTo(1, otherRefusal));
+    REQUIRE(first);
+    CHECK((first->execution == Execution::NotRun));
+    std::uint64_t id = 2;
+    for (const std::string &bytes : {repeated, misdirected}) {
+        const Refusal *refusal = std::get_if<Refusal>(&node.respondTo(id++, bytes));
+        REQUIRE(refusal);
+        CHECK((refusal->execution == Execution::Unknown));
+        CHECK(node.kernel.get<TargetGate>("target-gate").isOpen());
+        const HttpResponse *next =
+            std::get_if<HttpResponse>(&node.respondTo(id, completeResponse(id)));
+        REQUIRE(next);
+        ++id;
+    }
+    // The request's own response after the repeated refusal counts.
+    const HttpResponse *own =
+        std::get_if<HttpResponse>(&node.respondTo(id, otherRefusal + completeResponse(id, "own")));
+    REQUIRE(own);
+    CHECK(own->body == "own");
+}
+
+TEST_CASE("MIXED: a response that ends anywhere before its end is never a success")
+{
+    const std::string framed = completeResponse(1, "body");
+    const std::string chunked =
+        "HTTP/1.1 200 OK\r\nAttempt-Id: request-1\r\nResponse-Signature: s\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+    const std::string unframedHead =
+        "HTTP/1.1 200 OK\r\nAttempt-Id: request-1\r\nResponse-Signature: s\r\n\r\n";
+    for (const std::string &complete : {framed, chunked, unframedHead}) {
+        for (std::size_t length = 0; length < complete.size(); ++length) {
+            OneSlotNode node;
+            const CallResult &result = node.respondTo(1, complete.substr(0, length), true);
+            const Refusal *refusal = std::get_if<Refusal>(&result);
+            REQUIRE_MESSAGE(refusal, complete.substr(0, length));
+            CHECK((refusal->execution == Execution::Unknown));
+        }
+    }
+}
