Bound the bytes that are buffered for all responses of a backend server together

Report: bytes that are no answer may come without end, in a head or a body. Each response was bounded (64 KB of head, 31 MB of body) and ends at its deadline, but a server that does so for all its slots could take gigabytes, and a node may have 160 MB.

Change: BufferBudget holds the responses of one server to 48 MB together; the response that exceeds it ends as unknown, and its connection is closed.

Tests: bytes without end in a status line, a head, informational responses, a body that ends with the connection, and chunks: each ends as unknown after a bounded number of bytes.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,6 +1,5 @@
 #include "http_client.h"
 
-#include "http_messages.h"
 #include "socket_deadline.h"
 
 #include "ibiswell/wire/codec.h"
@@ -20,6 +19,9 @@
 constexpr std::size_t maximumResponseHeaderBytes = 64u << 10;
 constexpr std::size_t maximumResponseBodyBytes = maximumPeerMessageBytes - (1u << 20);
 
+/** Far above what responses usually need together; a node may have 160 MB in all. */
+constexpr std::size_t maximumBufferedBytes = 48u << 20;
+
 /** Shorter than the time for which servers usually keep an idle connection open. */
 constexpr Duration defaultIdleLimit = 8s;
 /** Keeps a request from being sent while the server closes the idle connection. */
@@ -52,6 +54,7 @@
 HttpClient::HttpClient(Endpoint server, HttpClientOptions options)
     : m_server(std::move(server))
     , m_options(std::move(options))
+    , m_responseBuffers(maximumBufferedBytes)
 {
 }
 
@@ -129,16 +132,31 @@
     co_return co_await readResponse(socket, request, reuse);
 }
 
+/** A faulty server may send bytes without end to many requests at once, hence the budget. */
+Task<boost::system::error_code> HttpClient::readOne(tcp::socket &socket, beast::flat_buffer &buffer,
+                                                    ResponseParser &parser)
+{
+    BufferBudget::Reservation reservation(m_responseBuffers);
+    while (!parser.is_done()) {
+        auto [error, count] = co_await http::async_read_some(socket, buffer, parser, asResult);
+        if (error)
+            co_return error;
+        if (!reservation.grow(count))
+            co_return http::error::body_limit;
+    }
+    co_return boost::system::error_code {};
+}
+
 Task<CallResult> HttpClient::readResponse(tcp::socket &socket, const HttpRequest &request,
                                           Reuse &reuse)
 {
     beast::flat_buffer buffer;
     for (int discarded = 0; discarded <= maximumMismatchedResponses; ++discarded) {
-        http::response_parser<http::string_body> parser;
+        ResponseParser parser;
         parser.header_limit(maximumResponseHeaderBytes);
         parser.body_limit(maximumResponseBodyBytes);
         parser.skip(request.method == "HEAD");
-        auto [readError, read] = co_await http::async_read(socket, buffer, parser, asResult);
+        boost::system::error_code readError = co_await readOne(socket, buffer, parser);
         if (readError)
             co_await throwIfCancelled();
         if (readError && !parser.is_header_done())
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "asio.h"
+#include "buffer_budget.h"
 #include "caller_connection.h"
+#include "http_messages.h"
 
 #include "ibiswell/core/messages.h"
 
@@ -48,6 +50,7 @@
     const Endpoint &server() const { return m_server; }
 
 private:
+    using ResponseParser = http::response_parser<http::string_body>;
     struct IdleConnection
     {
         tcp::socket socket;
@@ -61,6 +64,9 @@
     };
 
     Task<CallResult> exchangeOn(tcp::socket &socket, const HttpRequest &request, Reuse &reuse);
+    /** Reads one response; the error is set when it is malformed, too large or ends early. */
+    Task<boost::system::error_code> readOne(tcp::socket &socket, beast::flat_buffer &buffer,
+                                            ResponseParser &parser);
     Task<CallResult> readResponse(tcp::socket &socket, const HttpRequest &request, Reuse &reuse);
     /** False for a response without the echoed field: it may belong to any request. */
     bool namesRequest(const HttpResponse &response) const;
@@ -71,6 +77,7 @@
     Endpoint m_server;
     HttpClientOptions m_options;
     std::deque<IdleConnection> m_idle;
+    BufferBudget m_responseBuffers;
 };
 
 } // namespace ibiswell
--- a/tests/target_service_test.cpp
+++ b/tests/target_service_test.cpp
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <list>
+#include <vector>
 
 using namespace ibiswell;
 using namespace std::chrono_literals;
@@ -48,7 +49,25 @@
         }
     }
 
+    /** Sends @p bytes on all connections again and again until they are closed. */
+    void sendWithoutEnd(const std::string &bytes)
+    {
+        for (tcp::socket &socket : m_sockets)
+            asio::co_spawn(m_acceptor.get_executor(), repeat(socket, bytes), asio::detached);
+    }
+    std::size_t bytesSentWithoutEnd() const { return m_bytesSentWithoutEnd; }
+
 private:
+    Task<void> repeat(tcp::socket &socket, std::string bytes)
+    {
+        for (;;) {
+            auto [ec, count] = co_await asio::async_write(socket, asio::buffer(bytes), asResult);
+            m_bytesSentWithoutEnd += count;
+            if (ec)
+                co_return;
+        }
+    }
+
     Task<void> acceptLoop()
     {
         for (;;) {
@@ -72,6 +91,7 @@
     }
 
     std::string m_received;
+    std::size_t m_bytesSentWithoutEnd = 0;
     tcp::acceptor m_acceptor;
     std::list<tcp::socket> m_sockets;
 };
@@ -358,3 +378,53 @@
         }
     }
 }
+
+TEST_CASE("bytes without end, in a head or a body, end in an unknown outcome and bounded memory")
+{
+    constexpr std::size_t maximumHeadBytes = 1u << 20;
+    constexpr std::size_t maximumBodyBytes = 64u << 20;
+    struct Endless
+    {
+        std::string begin;
+        std::string repeated;
+        std::size_t maximumBytes;
+    };
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nAttempt-Id: request-1\r\nResponse-Signature: s\r\n";
+    const std::string block(16384, 'x');
+    const std::vector<Endless> cases {
+        {"", block, maximumHeadBytes},
+        {head, "X-Field: " + std::string(100, 'x') + "\r\n", maximumHeadBytes},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n", maximumHeadBytes},
+        {head + "\r\n", block, maximumBodyBytes},
+        {head + "Transfer-Encoding: chunked\r\n\r\n", "4000\r\n" + block + "\r\n",
+         maximumBodyBytes},
+    };
+    for (const Endless &endless : cases) {
+        CAPTURE(endless.begin);
+        OneSlotNode node;
+        node.call(1);
+        REQUIRE(node.runUntil([&] { return node.backend.hasRequest(1); }));
+        node.backend.send(endless.begin);
+        node.backend.sendWithoutEnd(endless.repeated);
+        REQUIRE(node.runUntil([&] { return node.responses.size() == 1; }));
+        const Refusal *refusal = std::get_if<Refusal>(&node.responses.back().result);
+        REQUIRE(refusal);
+        CHECK((refusal->execution == Execution::Unknown));
+        CHECK(node.backend.bytesSentWithoutEnd() < endless.maximumBytes);
+    }
+}
+
+TEST_CASE("the responses of one server hold no more than their budget together")
+{
+    BufferBudget budget(100);
+    BufferBudget::Reservation first(budget);
+    CHECK(first.grow(60));
+    {
+        BufferBudget::Reservation second(budget);
+        CHECK(second.grow(40));
+        CHECK_FALSE(second.grow(1));
+        CHECK_FALSE(first.grow(1));
+    }
+    CHECK(first.grow(40));
+}
