Keep the last stated rate when one cannot be read, and log it

Cause: found in reading the diff as a newcomer: a Server-Limit that is not a number ended the limit without a line, which would let a server in trouble get more than it named (LIMIT). The wait for a close beside unread bytes ended by an exception when it was cancelled, against the convention of the other waits.

Change: such a value is logged as target-statement-unreadable and the last rate holds; the wait returns when it is cancelled.

--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -22,8 +22,9 @@
 Task<void> CallerConnection::waitUntilLeft()
 {
     auto [ec] = co_await m_socket.async_wait(tcp::socket::wait_read, asResult);
-    while (!ec && !hasLeft())
-        co_await sleepFor(checkIntervalWithUnreadBytes);
+    bool isCancelled = false;
+    while (!ec && !isCancelled && !hasLeft())
+        isCancelled = !co_await sleepUnlessCancelled(checkIntervalWithUnreadBytes);
 }
 
 Refusal callerHasLeft()
--- a/src/transport/target_service.cpp
+++ b/src/transport/target_service.cpp
@@ -293,7 +293,15 @@
 void TargetService::applyStatement(const HttpResponse &response)
 {
     TargetStatement statement;
-    statement.requestsPerSecond = readRate(response.header(m_dialect.names.admittedRate));
+    std::string_view stated = response.header(m_dialect.names.admittedRate);
+    statement.requestsPerSecond = readRate(stated);
+    if (!stated.empty() && !statement.requestsPerSecond) {
+        m_log.write(steadyNow(), LogLevel::Warning, "target-statement-unreadable",
+                    {{"instance", m_gate->instance()},
+                     {"field", m_dialect.names.admittedRate},
+                     {"value", std::string(stated)}});
+        statement.requestsPerSecond = m_gate->statedRate();
+    }
     statement.leaving = response.hasHeader(m_dialect.names.leaving);
     bool changed = statement.requestsPerSecond != m_gate->statedRate()
         || (statement.leaving && m_gate->isOpen());
--- a/tests/target_service_test.cpp
+++ b/tests/target_service_test.cpp
@@ -428,3 +428,24 @@
     }
     CHECK(first.grow(40));
 }
+
+TEST_CASE("LIMIT: a stated rate that cannot be read leaves the last one in force")
+{
+    OneSlotNode node;
+    TargetGate &gate = node.kernel.get<TargetGate>("target-gate");
+    auto stating = [](std::uint64_t id, const std::string &rate) {
+        return fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: request-{}\r\nResponse-Signature: s\r\n"
+                           "Server-Limit: {}\r\nContent-Length: 0\r\n\r\n",
+                           id, rate);
+    };
+    node.respondTo(1, stating(1, "55.3"));
+    CHECK(gate.statedRate() == 55.3);
+    std::uint64_t id = 2;
+    for (const char *rate : {"many", "-1", "nan", "5,4", "1e999"}) {
+        node.respondTo(id, stating(id, rate));
+        CHECK(gate.statedRate() == 55.3);
+        ++id;
+    }
+    node.respondTo(id, completeResponse(id));
+    CHECK_FALSE(gate.statedRate());
+}
