Name the gauges of the loop monitor in one place, and mend two comments

Cause: found in reading the whole change again.

Ruled out as twins: loop_monitor.h and lease_service.h, alike in shape only. Names, values and behaviour stay; no test is changed but for a comment.

--- a/include/ibiswell/decisions/target_admission.h
+++ b/include/ibiswell/decisions/target_admission.h
@@ -9,8 +9,8 @@
 #include "ibiswell/decisions/node_load_limit.h"
 #include "ibiswell/decisions/stated_rate_limit.h"
 
-#include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <variant>
--- a/src/transport/buffer_budget.h
+++ b/src/transport/buffer_budget.h
@@ -4,7 +4,7 @@
 
 namespace ibiswell {
 
-/** Bounds the bytes that are buffered for all responses of one server together. */
+/** Bounds the bytes that are held for all responses of one server while they are read. */
 class BufferBudget
 {
 public:
--- a/src/transport/loop_monitor.cpp
+++ b/src/transport/loop_monitor.cpp
@@ -16,6 +16,15 @@
 constexpr Duration loggedDelay = 100ms; // a delay of at least this is logged
 constexpr Duration logInterval = 1s;
 
+/** Processor time that this process has used. */
+Duration processorTime()
+{
+    timespec used {};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    auto time = std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
+    return std::chrono::duration_cast<Duration>(time);
+}
+
 } // namespace
 
 LoopMonitor::LoopMonitor(Kernel &kernel, asio::io_context &context)
@@ -31,17 +40,15 @@
         m_log.write(steadyNow(), LogLevel::Warning, "loop-unmeasured", {{"detail", ec.message()}});
 }
 
-Duration LoopMonitor::processorTime()
+Duration LoopMonitor::delay(TimePoint now) const
 {
-    timespec used {};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
-    auto time = std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
-    return std::chrono::duration_cast<Duration>(time);
+    return m_probeSentAt ? std::max(m_lastDelay, now - *m_probeSentAt) : m_lastDelay;
 }
 
-Duration LoopMonitor::delay(TimePoint now) const
+std::map<std::string, double> LoopMonitor::gauges(TimePoint now) const
 {
-    return m_probeSentAt ? std::max(m_lastDelay, now - *m_probeSentAt) : m_lastDelay;
+    return {{"ibiswell_loop_delay_seconds", inSeconds(delay(now))},
+            {"ibiswell_processor_seconds", inSeconds(processorTime())}};
 }
 
 Task<void> LoopMonitor::sendProbes()
--- a/src/transport/loop_monitor.h
+++ b/src/transport/loop_monitor.h
@@ -6,7 +6,9 @@
 #include "ibiswell/kernel/kernel.h"
 #include "ibiswell/transport/log.h"
 
+#include <map>
 #include <optional>
+#include <string>
 
 namespace ibiswell {
 
@@ -29,12 +31,12 @@
     /** Receives the bytes, reports delays to the admission and logs them; runs until the end. */
     Task<void> receiveProbes();
 
-    /** The last measured delay, or the age of the byte under way when that is longer. */
-    Duration delay(TimePoint now) const;
-    /** Processor time that this process has used. */
-    static Duration processorTime();
+    /** The delay and the processor time used, by the names of their metrics. */
+    std::map<std::string, double> gauges(TimePoint now) const;
 
 private:
+    /** The last measured delay, or the age of the byte under way when that is longer. */
+    Duration delay(TimePoint now) const;
     void logDelay(TimePoint now);
 
     TargetAdmission &m_admission;
--- a/src/transport/status_page.cpp
+++ b/src/transport/status_page.cpp
@@ -134,7 +134,7 @@
 
 std::map<std::string, double> StatusPage::gauges() const
 {
-    return {
+    std::map<std::string, double> gauges {
         {"ibiswell_concurrency_limit", m_admission.limit()},
         {"ibiswell_calls_in_flight", m_admission.inFlight()},
         {"ibiswell_calls_queued", static_cast<double>(m_admission.queued())},
@@ -146,9 +146,9 @@
         {"ibiswell_leases_held", static_cast<double>(m_leases.heldLeases(steadyNow()).size())},
         {"ibiswell_platform_calls", static_cast<double>(m_platform.callCount())},
         {"ibiswell_log_lines_left_out", static_cast<double>(m_log.droppedLines())},
-        {"ibiswell_loop_delay_seconds", inSeconds(m_loopMonitor.delay(steadyNow()))},
-        {"ibiswell_processor_seconds", inSeconds(LoopMonitor::processorTime())},
     };
+    gauges.merge(m_loopMonitor.gauges(steadyNow()));
+    return gauges;
 }
 
 } // namespace ibiswell
--- a/tests/node_load_limit_test.cpp
+++ b/tests/node_load_limit_test.cpp
@@ -12,8 +12,7 @@
 constexpr int slots = 437;
 constexpr Duration sampleInterval = 50ms;
 
-/** A node whose processor carries some calls in flight without delay; each further one adds some.
- */
+/** A node whose processor carries some calls without delay; each further call adds some. */
 struct FakeProcessor
 {
     int carriedCalls;
