Keep registering as a seed node until the stored list names this node

Cause: three nodes that start in the same millisecond write the list of seed nodes on the same version. The first wrote a list of itself alone, again and again, as nobody was listed; the writes of the others met a conflict, and since they had joined they did not try again. After its restart the first node found itself alone in the list and the others took it as left.

Change: registerAsSeed() tells whether the list names this node, and join() goes on until it does, within the attempts that it had; a list that would not change is not written.

--- a/src/transport/platform_sync.cpp
+++ b/src/transport/platform_sync.cpp
@@ -89,33 +89,48 @@
         std::vector<Endpoint> candidates = co_await fetchSeedNodes(version, platformReachable);
         std::vector<Endpoint> responding;
         for (const Endpoint &seed : candidates) {
-            bool joined = seed != self && co_await m_gossip.joinVia(seed);
-            if (joined)
+            bool responds = seed != self && co_await m_gossip.joinVia(seed);
+            if (responds)
                 responding.push_back(seed);
         }
         m_log.write(steadyNow(), LogLevel::Info, "joined",
                     {{"contacts", fmt::to_string(responding.size())},
                      {"platform", platformReachable ? "up" : "down"}});
-        if (platformReachable && attempts < registrationAttempts)
-            co_await registerAsSeed(version, responding);
-        bool finished =
-            platformReachable && (!responding.empty() || attempts >= registrationAttempts);
+        bool hasAttemptsLeft = attempts < registrationAttempts;
+        bool registered = false;
+        if (platformReachable && hasAttemptsLeft) {
+            auto registering = registerAsSeed(version, std::move(candidates), responding);
+            registered = co_await std::move(registering);
+        }
+        bool joined = registered && !responding.empty();
+        bool finished = platformReachable && (joined || !hasAttemptsLeft);
         if (finished)
             co_return;
         co_await sleepFor(joinRetryInterval);
     }
 }
 
-Task<void> PlatformSync::registerAsSeed(std::uint64_t version, std::vector<Endpoint> responding)
+/**
+ * A list that would not change is not written: nodes that start together would otherwise lose their
+ * registrations to the conflict with it.
+ */
+Task<bool> PlatformSync::registerAsSeed(std::uint64_t version, std::vector<Endpoint> listed,
+                                        std::vector<Endpoint> responding)
 {
     const Endpoint self = m_membership.self().endpoint;
     if (responding.size() >= maximumSeedNodes)
-        co_return;
+        co_return true;
     responding.push_back(self);
     std::sort(responding.begin(), responding.end());
     responding.erase(std::unique(responding.begin(), responding.end()), responding.end());
+    std::sort(listed.begin(), listed.end());
+    listed.erase(std::unique(listed.begin(), listed.end()), listed.end());
+    bool isStored = version > 0 && listed == responding;
+    if (isStored)
+        co_return true;
     std::string value = serializeSeedNodes(responding);
-    co_await m_platform.put(std::string(seedNodesObjectName), version, value);
+    PlatformReply reply = co_await m_platform.put(std::string(seedNodesObjectName), version, value);
+    co_return std::holds_alternative<PlatformObject>(reply);
 }
 
 Task<void> PlatformSync::watchPolicy()
--- a/src/transport/platform_sync.h
+++ b/src/transport/platform_sync.h
@@ -32,7 +32,13 @@
 
 private:
     Task<std::vector<Endpoint>> fetchSeedNodes(std::uint64_t &version, bool &platformReachable);
-    Task<void> registerAsSeed(std::uint64_t version, std::vector<Endpoint> responding);
+    /**
+     * Stores @p responding and this node as the seed nodes, unless there are enough; returns
+     * whether the stored list names this node or needs no more. False: another node's write came
+     * first, or the platform did not confirm the write.
+     */
+    Task<bool> registerAsSeed(std::uint64_t version, std::vector<Endpoint> listed,
+                              std::vector<Endpoint> responding);
     void adoptPolicy(const PlatformObject &object);
 
     NodeState &m_node;
