--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -542,14 +542,18 @@
     if not os.path.exists(NODE_PROGRAM):
         print("target/ibiswelld_platform is missing: run the build of the deploy file first")
         sys.exit(COULD_NOT_RUN)
-    case = Case(folder)
     result = COULD_NOT_RUN
     try:
-        result = asyncio.run(asyncio.wait_for(script(case), 115))
+        case = Case(folder)
     except CannotRun as error:
-        case.record.write(f"could not run: {error}")
+        print(f"could not run: {error}")
+        sys.exit(COULD_NOT_RUN)
+    try:
+        result = asyncio.run(asyncio.wait_for(script(case), 115))
     except asyncio.TimeoutError:
         case.record.write("could not run: the case took too long")
+    except Exception as error:  # a fault of the case itself says nothing about the rule
+        case.record.write(f"could not run: {type(error).__name__} {error}")
     finally:
         case.end()
     text = {HELD: "the rule held", BROKEN: "the rule was broken",
