--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -171,6 +171,17 @@
     ::kill(m_pid, number);
 }
 
+std::size_t Process::peakMemoryBytes() const
+{
+    constexpr std::string_view name = "VmHWM:";
+    std::ifstream status(fmt::format("/proc/{}/status", m_pid));
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(name))
+            return std::strtoul(line.c_str() + name.size(), nullptr, 10) << 10; // in kB
+    }
+    return 0;
+}
+
 int Process::wait()
 {
     int status = 0;
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -50,6 +50,8 @@
     ~Process();
 
     void signal(int number) const;
+    /** The greatest resident memory so far, from /proc; 0 when the process has ended. */
+    std::size_t peakMemoryBytes() const;
     /** Waits for the process to exit and returns the exit code; -1 when a signal ended it. */
     int wait();
 
--- a/tests/process/platform_deployment.h
+++ b/tests/process/platform_deployment.h
@@ -47,6 +47,7 @@
 public:
     explicit PlatformDeployment(int firstPort)
         : m_firstPort(firstPort)
+        , m_storePortOfNodes(firstPort)
         , m_folder(fmt::format("{}/platform-test-{}",
                                std::filesystem::temp_directory_path().string(), firstPort))
     {
@@ -70,7 +71,10 @@
     int readinessPort(int node) const { return portOf(node, 2); }
     int reportPort(int node) const { return portOf(node, 3); }
     int targetPort(int node) const { return portOf(node, 4); }
+    int peerPort(int node) const { return portOf(node, 1); }
     int storePort() const { return m_firstPort; }
+    /** Nodes that are added from now on use another store. */
+    void useStore(int port) { m_storePortOfNodes = port; }
 
     void addTarget(const std::string &service)
     {
@@ -90,10 +94,10 @@
         settings << fmt::format(
             R"({{"node": "node-{}", "service": "{}", "zone": "{}", "address": "127.0.0.1",
                 "http": "127.0.0.1:{}", "peer_port": {}, "backend": "127.0.0.1:{}",
-                "platform": "127.0.0.1:{}", "front": {{"readiness": "127.0.0.1:{}",
+                "memory_mb": 160, "platform": "127.0.0.1:{}", "front": {{"readiness": "127.0.0.1:{}",
                 "reports": "127.0.0.1:{}", "metrics": "127.0.0.1:{}", "bounds": "grace-s=6"}}}})",
-            node, service, zone, callerPort(node), portOf(node, 1), targetPort(node), m_firstPort,
-            readinessPort(node), reportPort(node), portOf(node, 5));
+            node, service, zone, callerPort(node), portOf(node, 1), targetPort(node),
+            m_storePortOfNodes, readinessPort(node), reportPort(node), portOf(node, 5));
         settings.close();
         m_nodes.emplace_back();
         startNode(node);
@@ -112,7 +116,15 @@
     Reply writeStore(const std::string &method, const std::string &path,
                      const std::string &body = "")
     {
-        return request(m_firstPort, method, path, {}, body);
+        return request(m_firstPort, method, path, {{"Operator", "yes"}}, body);
+    }
+    /** Writes @p count objects of a kind that nodes do not follow, so that the revision rises. */
+    void raiseRevision(int count, const std::string &prefix)
+    {
+        for (int i = 0; i < count; ++i)
+            writeStore(
+                "POST", "/api/objects/other",
+                fmt::format(R"({{"metadata": {{"name": "{}-{}"}}, "spec": {{}}}})", prefix, i));
     }
     void setStoreFault(const std::string &body)
     {
@@ -183,6 +195,7 @@
     }
 
     int m_firstPort;
+    int m_storePortOfNodes;
     std::string m_folder;
     bool m_keepsLogs = false; ///< For a look at a run that failed.
     std::unique_ptr<Process> m_store;
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -3,13 +3,24 @@
  * faults that a test sets.
  *
  * POST /faults   {"mode": "" | "busy" | "many" | "silent", "lose_writes": N, "forget": true,
- *                 "odd_entry": TEXT}
- *                "busy", "many" and "silent": all requests get 503, 429 or no response;
+ *                 "odd_entry": TEXT, "copy": true, "restore": true, "keep_watches": BOOL,
+ *                 "endless_pages": BOOL}
+ *                "busy", "many" and "silent": all requests get 503, 429 or no response,
+ *                but for those with a header field Operator;
  *                "lose_writes": the next N writes take effect but get no response;
  *                "odd_entry": text that each listing and each watch holds as one more entry, as it
  *                is, valid or not; empty: none
  *                "forget": the recorded changes are discarded, so that a watch from an older
  *                revision gets 410
+ *                "copy": keeps a copy of all objects and the revision
+ *                "restore": the store goes back to the copy, with an empty history and the next
+ *                era: revisions since are given out again, a watch from a later one gets 410
+ *                "keep_watches": whether watches that wait during a restore go on waiting; by
+ *                default they end with 503
+ *                "endless_pages": each listing is a page of about a megabyte that another one
+ *                follows
+ *
+ * Each response states the era in Store-Era.
  */
 
 #include "serve_standin.h"
@@ -34,6 +45,8 @@
 using namespace std::chrono_literals;
 
 constexpr std::string_view objectsPath = "/api/objects/";
+/** Header field of the operator's calls, which are served in any mode. */
+constexpr std::string_view operatorField = "Operator";
 constexpr Duration silentDelay = 60s; // longer than any client waits
 
 std::uint64_t parseNumberAfter(std::string_view text, std::string_view name)
@@ -59,14 +72,38 @@
     }
 
     Task<HttpResponse> handle(HttpRequest request)
+    {
+        HttpResponse response = co_await respond(std::move(request));
+        response.headers.push_back({"Store-Era", std::to_string(m_current.era)});
+        co_return response;
+    }
+
+private:
+    using ObjectsByKind = std::map<std::string, std::map<std::string, json::value>>;
+    struct RevisionEvent
+    {
+        std::uint64_t revision;
+        std::string kind;
+        json::value event;
+    };
+    /** What a copy of the store holds; the era rises with each restore of one. */
+    struct State
+    {
+        ObjectsByKind objects;
+        std::uint64_t revision = 1;
+        std::uint64_t era = 1;
+    };
+
+    Task<HttpResponse> respond(HttpRequest request)
     {
         if (request.path == "/faults")
             co_return setFaults(request.body);
-        if (m_mode == "busy")
+        bool isRefused = request.header(operatorField).empty();
+        if (isRefused && m_mode == "busy")
             co_return makeResponse(503);
-        if (m_mode == "many")
+        if (isRefused && m_mode == "many")
             co_return makeResponse(429);
-        if (m_mode == "silent")
+        if (isRefused && m_mode == "silent")
             co_await sleepFor(silentDelay);
         if (!request.path.starts_with(objectsPath))
             co_return makeResponse(404);
@@ -87,13 +124,20 @@
         co_return co_await watch(kind, parseNumberAfter(query, "watch="), wait);
     }
 
-private:
-    struct RevisionEvent
+    void discardHistory()
     {
-        std::uint64_t revision;
-        std::string kind;
-        json::value event;
-    };
+        m_events.clear();
+        m_discardedUntil = m_current.revision;
+        m_changeSignal.cancel();
+    }
+
+    void restoreCopy()
+    {
+        std::uint64_t era = m_current.era + 1;
+        m_current = m_copy;
+        m_current.era = era;
+        discardHistory();
+    }
 
     HttpResponse setFaults(const std::string &text)
     {
@@ -104,26 +148,33 @@
         ErrorList errors;
         ObjectReader reader(*value, "", errors);
         bool discardsChanges = false;
+        bool takesCopy = false;
+        bool restores = false;
         reader.readText("mode", m_mode);
         reader.readInteger("lose_writes", {0, 1000}, m_writesToLose);
         reader.readText("odd_entry", m_oddEntry);
         reader.readBoolean("forget", discardsChanges);
-        if (discardsChanges) {
-            m_events.clear();
-            m_discardedUntil = m_revision;
-            m_changeSignal.cancel();
-        }
+        reader.readBoolean("copy", takesCopy);
+        reader.readBoolean("restore", restores);
+        reader.readBoolean("keep_watches", m_keepsWatches);
+        reader.readBoolean("endless_pages", m_hasEndlessPages);
+        if (discardsChanges)
+            discardHistory();
+        if (takesCopy)
+            m_copy = m_current;
+        if (restores)
+            restoreCopy();
         return makeResponse(errors.isEmpty() ? 200 : 400);
     }
 
     HttpResponse write(const HttpRequest &request, const std::string &kind, std::string name)
     {
         if (request.method == "DELETE") {
-            auto found = m_objectsByKind[kind].find(name);
-            if (found == m_objectsByKind[kind].end())
+            auto found = m_current.objects[kind].find(name);
+            if (found == m_current.objects[kind].end())
                 return makeResponse(404);
             json::value object = found->second;
-            m_objectsByKind[kind].erase(found);
+            m_current.objects[kind].erase(found);
             recordChange(kind, object, true);
             return makeResponse(200, object);
         }
@@ -133,25 +184,25 @@
             return makeResponse(400);
         if (name.empty())
             name = std::string(body->at("metadata").at("name").as_string());
-        bool exists = m_objectsByKind[kind].contains(name);
+        bool exists = m_current.objects[kind].contains(name);
         if (request.method == "POST" && exists)
-            return makeResponse(409, m_objectsByKind[kind][name]);
+            return makeResponse(409, m_current.objects[kind][name]);
         if (request.method == "PUT" && !exists)
             return makeResponse(404);
         json::object object {
-            {"metadata", json::object {{"name", name}, {"revision", m_revision + 1}}},
+            {"metadata", json::object {{"name", name}, {"revision", m_current.revision + 1}}},
             {"spec", body->as_object()["spec"]},
             {"status", nullptr}};
-        m_objectsByKind[kind][name] = object;
+        m_current.objects[kind][name] = object;
         recordChange(kind, object, false);
         return makeResponse(200, object);
     }
 
     void recordChange(const std::string &kind, const json::value &object, bool removed)
     {
-        ++m_revision;
+        ++m_current.revision;
         m_events.push_back(
-            {m_revision, kind, json::object {{"removed", removed}, {"object", object}}});
+            {m_current.revision, kind, json::object {{"removed", removed}, {"object", object}}});
         m_changeSignal.cancel();
     }
 
@@ -162,16 +213,32 @@
         std::string list = json::serialize(entries);
         if (!oddEntry.empty())
             list.insert(1, oddEntry + (entries.empty() ? "" : ","));
-        return {
-            200,
-            {{"content-type", "application/json"}},
-            fmt::format(R"({{"{}":{},"more":false,"current-rev":{}}})", field, list, m_revision)};
+        return {200,
+                {{"content-type", "application/json"}},
+                fmt::format(R"({{"{}":{},"more":false,"current-rev":{}}})", field, list,
+                            m_current.revision)};
+    }
+
+    HttpResponse endlessPage()
+    {
+        constexpr std::size_t valueBytes = 1u << 20;
+        json::array items;
+        items.push_back(json::object {
+            {"metadata",
+             json::object {{"name", fmt::format("page-{}", m_pages++)}, {"revision", 1}}},
+            {"spec", std::string(valueBytes, 'v')}});
+        return {200,
+                {{"content-type", "application/json"}},
+                fmt::format(R"({{"items":{},"more":true,"current-rev":{}}})",
+                            json::serialize(items), m_current.revision)};
     }
 
     HttpResponse list(const std::string &kind)
     {
+        if (m_hasEndlessPages)
+            return endlessPage();
         json::array items;
-        for (const auto &[name, object] : m_objectsByKind[kind])
+        for (const auto &[name, object] : m_current.objects[kind])
             items.push_back(object);
         return makeListResponse("items", items, m_oddEntry);
     }
@@ -184,8 +251,13 @@
     Task<HttpResponse> watch(std::string kind, std::uint64_t after, Duration wait)
     {
         TimePoint end = steadyNow() + wait;
+        if (after < m_discardedUntil || after > m_current.revision)
+            co_return makeResponse(410);
+        std::uint64_t era = m_current.era;
         for (;;) {
-            if (after < m_discardedUntil)
+            if (m_current.era != era && !m_keepsWatches)
+                co_return makeResponse(503);
+            if (m_current.era == era && after < m_discardedUntil)
                 co_return makeResponse(410);
             json::array events;
             for (const RevisionEvent &change : m_events) {
@@ -199,9 +271,12 @@
         }
     }
 
-    std::map<std::string, std::map<std::string, json::value>> m_objectsByKind;
+    State m_current;
+    State m_copy;
     std::deque<RevisionEvent> m_events;
-    std::uint64_t m_revision = 1;
+    bool m_keepsWatches = false;
+    bool m_hasEndlessPages = false;
+    int m_pages = 0;
     std::uint64_t m_discardedUntil = 0;
     std::string m_mode;
     std::string m_oddEntry;
