Test of a planned stop: start it when the node knows another target

Its start condition let the node stop before it had heard of the second target, while its own took nothing. It now waits for a response of that target; the checks are as before.

--- a/tests/process/platform_test.cpp
+++ b/tests/process/platform_test.cpp
@@ -185,6 +185,10 @@
 {
     PlatformDeployment platform(19500);
     startDefaultTargets(platform);
+    // Its own target takes nothing once the node stops, so it must know the other one.
+    REQUIRE(eventually([&] {
+        return platform.sendRequest(0, "GET", "/x/1", "other").contains(R"("instance":"i-1")");
+    }));
     platform.node(0).signal(SIGTERM);
     CHECK(eventually([&] { return !platform.isReady(0); }));
     Reply reply = platform.sendRequest(0, "GET", "/x/1", "while-stopping");
