endless: bound a header whose lines arrive a little at a time

The parser takes each whole line out of the buffer, so that the buffer's bound held for a line alone, wherever a read ended up to two bytes into the next line. Requests of callers were read in the same way.

--- a/src/transport/http_reader.cpp
+++ b/src/transport/http_reader.cpp
@@ -53,6 +53,10 @@
         if (buffer.size() > 0)
             step = parse(buffer, parser);
         whole = {step.error, whole.bytes + step.bytes};
+        // The parser takes complete lines out of the buffer, and does not count them.
+        bool isHeaderTooLong = !parser.is_header_done() && whole.bytes > buffer.max_size();
+        if (isHeaderTooLong)
+            co_return HttpRead {http::error::header_limit, whole.bytes};
         if (step.error != http::error::need_more)
             co_return whole;
         std::size_t size = nextReadSize(buffer);
@@ -84,5 +88,7 @@
 template Task<HttpRead> readSome(tcp::socket &, beast::flat_buffer &, http::basic_parser<false> &);
 template Task<boost::system::error_code> readHeader(tcp::socket &, beast::flat_buffer &,
                                                     http::basic_parser<true> &);
+template Task<boost::system::error_code> readHeader(tcp::socket &, beast::flat_buffer &,
+                                                    http::basic_parser<false> &);
 
 } // namespace ibiswell
--- a/src/transport/http_reader.h
+++ b/src/transport/http_reader.h
@@ -18,10 +18,10 @@
  * Parses what is in @p buffer and, if that is not enough to make progress, reads once more from the
  * socket.
  *
- * The buffer's maximum size bounds each line that the parser needs whole: a header, the extensions
- * of a chunk, the fields after the last chunk. A longer one is buffer_overflow, and a field that
- * the parser cannot represent is header_limit. Beast's own operations throw for the latter, out of
- * the event loop.
+ * The buffer's maximum size bounds a header, and each line that the parser needs whole: the
+ * extensions of a chunk, the fields after the last chunk. A longer line is buffer_overflow; a
+ * longer header, or a field that the parser cannot represent, is header_limit. Beast's own
+ * operations throw for such a field, out of the event loop.
  */
 template<bool isRequest>
 Task<HttpRead> readSome(tcp::socket &socket, beast::flat_buffer &buffer,
