--- a/src/transport/socket_deadline.cpp
+++ b/src/transport/socket_deadline.cpp
@@ -13,11 +13,13 @@
 DeadlineService::Entries::iterator DeadlineService::add(TimePoint when, SocketDeadline *deadline,
                                                         const tcp::socket::executor_type &executor)
 {
+    auto entry = m_entries.emplace(when, deadline);
+    // The sweep may run at once, and ends when there is no entry.
     if (!m_sweeping) {
         m_sweeping = true;
         asio::co_spawn(executor, sweep(), asio::detached);
     }
-    return m_entries.emplace(when, deadline);
+    return entry;
 }
 
 /**
