endless: bound the messages of peers that are no calls

Eight connections of peers with messages of 32 MB that are no calls filled 344 MB of a node (160 MB allowed): such messages were received whatever was held already, and one that stopped in the middle held its room for good. They may now exceed the budget of bodies by as much again, since a response that is lost is an unknown outcome; beyond that, and after 1.5 s without bytes within a message, the connection ends. Process test endless: bytes of a peer, and a unit test of a message that stops.

--- a/src/transport/buffer_budget.h
+++ b/src/transport/buffer_budget.h
@@ -42,6 +42,18 @@
             return fits;
         }
 
+        /**
+         * Takes @p bytes more, for what is lost if there is no room; false when the budget is
+         * exceeded by as much again.
+         */
+        bool growUrgently(std::size_t bytes)
+        {
+            bool fits = !m_budget || m_budget->m_held + bytes <= 2 * m_budget->m_maximumBytes;
+            if (fits)
+                growBeyond(bytes);
+            return fits;
+        }
+
         /** Takes @p bytes more, for a body that is held already: others then wait for room. */
         void growBeyond(std::size_t bytes)
         {
--- a/src/transport/peer_connection.cpp
+++ b/src/transport/peer_connection.cpp
@@ -85,17 +85,18 @@
     co_return co_await writeAll(frame, idleTimeout);
 }
 
-bool PeerConnection::reserve(std::size_t length)
+PeerConnection::Room PeerConnection::reserve(std::size_t length)
 {
     std::string_view start = std::string_view(m_buffer).substr(prefixBytes);
     std::optional<std::uint64_t> callId = decodeCallId(start);
-    bool isDroppable = callId && length > alwaysReceivedBytes;
-    if (!isDroppable) {
+    m_droppedCallId = callId.value_or(0);
+    if (length <= alwaysReceivedBytes)
         m_reservation.growBeyond(length);
-        return true;
-    }
-    m_droppedCallId = *callId;
-    return m_reservation.grow(length);
+    else if (callId && !m_reservation.grow(length))
+        return Room::DropCall;
+    else if (!callId && !m_reservation.growUrgently(length))
+        return Room::None;
+    return Room::Enough;
 }
 
 Task<bool> PeerConnection::dropMessage(std::size_t length, std::optional<Duration> idleTimeout)
@@ -125,10 +126,18 @@
         m_lastError = Error {ErrorKind::MalformedMessage, "message is too long"};
         co_return std::nullopt;
     }
+    // A peer that stops within a message would hold its room for good.
+    if (!idleTimeout)
+        idleTimeout = peerInactivityTimeout;
     received = co_await readAtLeast(prefixBytes + std::min(length, callIdBytes), idleTimeout);
     if (!received)
         co_return std::nullopt;
-    if (!reserve(length)) {
+    Room room = reserve(length);
+    if (room == Room::None) {
+        m_lastError = Error {ErrorKind::ConnectionLost, "the node holds too many messages"};
+        co_return std::nullopt;
+    }
+    if (room == Room::DropCall) {
         bool dropped = co_await dropMessage(length, idleTimeout);
         if (dropped)
             m_lastError = Error {ErrorKind::QueueFull, "the node holds too many bodies"};
--- a/src/transport/peer_connection.h
+++ b/src/transport/peer_connection.h
@@ -9,6 +9,9 @@
 
 namespace ibiswell {
 
+/** A connection on which a message is awaited or incomplete counts as lost after this time. */
+inline constexpr Duration peerInactivityTimeout = std::chrono::milliseconds(1500);
+
 /** A TCP connection between two nodes for length-prefixed messages, one call at a time. */
 class PeerConnection
 {
@@ -27,7 +30,8 @@
      * without limit. What the message before it held of the budget is given back.
      *
      * A call for which the budget has no room is read and dropped: lastError() is then QueueFull,
-     * and droppedCallId() names it, so that it can be refused as not run.
+     * and droppedCallId() names it, so that it can be refused as not run. Another message without
+     * room, and one that stops in the middle, ends the connection.
      */
     Task<std::optional<PeerMessage>> receive(std::optional<Duration> idleTimeout);
 
@@ -44,8 +48,11 @@
 private:
     /** Reads until at least @p size bytes are in the buffer. */
     Task<bool> readAtLeast(std::size_t size, std::optional<Duration> idleTimeout);
-    /** Takes the message of @p length bytes from the budget; false when it must be dropped. */
-    bool reserve(std::size_t length);
+    /** Whether the budget has room for a message. */
+    enum class Room : std::uint8_t { Enough, DropCall, None };
+
+    /** Takes the message of @p length bytes from the budget. */
+    Room reserve(std::size_t length);
     /** Reads and drops the rest of a message of @p length bytes; false when the connection ends. */
     Task<bool> dropMessage(std::size_t length, std::optional<Duration> idleTimeout);
     Task<bool> writeAll(std::span<const char> bytes, Duration idleTimeout);
--- a/src/transport/peer_connection_pool.h
+++ b/src/transport/peer_connection_pool.h
@@ -14,9 +14,6 @@
 /** Interval of the heartbeats that a node sends on a call's connection while the call runs. */
 inline constexpr Duration callHeartbeatInterval = std::chrono::milliseconds(400);
 
-/** A connection with a call in progress counts as lost after this time without a message. */
-inline constexpr Duration peerInactivityTimeout = std::chrono::milliseconds(1500);
-
 /** Outcome of an exchange with a peer: its response, or why there is none. */
 using PeerReply = std::variant<PeerMessage, Refusal>;
 
--- a/tests/peer_connection_test.cpp
+++ b/tests/peer_connection_test.cpp
@@ -59,3 +59,29 @@
     REQUIRE(received[2]);
     CHECK(std::get<CallMessage>(*received[2]).callId == 3);
 }
+
+// Guards against bytes without end: a message that is never whole would hold its room for good.
+TEST_CASE("a message that stops in the middle ends its connection and gives its room back")
+{
+    asio::io_context context {1};
+    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    tcp::socket sending(context);
+    sending.connect(acceptor.local_endpoint());
+    constexpr std::uint32_t length = 90'000;
+    const std::string frame {'\x90', '\x5f', '\x01', '\0', 'b', 'e', 'g', 'i', 'n'};
+    asio::write(sending, asio::buffer(frame));
+    BufferBudget bodies(length);
+    bool hasEnded = false;
+    auto receive = [&]() -> Task<void> {
+        PeerConnection receiver(acceptor.accept(), &bodies);
+        std::optional<PeerMessage> message = co_await receiver.receive(std::nullopt);
+        CHECK_FALSE(message);
+        CHECK(receiver.lastError()->kind == ErrorKind::ConnectionLost);
+        hasEnded = true;
+    };
+    asio::co_spawn(context, receive(), asio::detached);
+    context.run_for(peerInactivityTimeout + 1s);
+    CHECK(hasEnded);
+    BufferBudget::Reservation whole(&bodies);
+    CHECK(whole.grow(length));
+}
