endless: bound a listing and the pages of the store

A listing whose pages never end filled 453 to 460 MB of a node (160 MB allowed). A page is at most 4 MB now, a listing 24 MB.

--- a/include/ibiswell/transport/store_format.h
+++ b/include/ibiswell/transport/store_format.h
@@ -44,6 +44,7 @@
     std::vector<UnreadableObject> unreadable;
     std::string lastName; ///< Last name on the page, also of an unreadable object.
     bool hasMore = false; ///< More objects follow after the last one.
+    std::size_t bytes = 0; ///< Of the response.
     StorePosition position {}; ///< Of the store when the objects were listed.
 };
 
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -3,8 +3,6 @@
 #include "http_reader.h"
 #include "socket_deadline.h"
 
-#include "ibiswell/wire/codec.h"
-
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -19,7 +17,6 @@
 constexpr std::size_t maximumIdleConnections = 64;
 constexpr Duration connectTimeout = 1s;
 constexpr std::size_t maximumResponseHeaderBytes = 64u << 10;
-constexpr std::size_t maximumResponseBodyBytes = maximumPeerMessageBytes - (1u << 20);
 
 /** A longer body may fill the buffers of the connection, so that sending waits for the server. */
 constexpr std::size_t maximumBytesSentAtOnce = 16u << 10;
@@ -217,7 +214,7 @@
     for (int discarded = 0; discarded <= maximumMismatchedResponses; ++discarded) {
         ResponseParser parser;
         parser.header_limit(maximumResponseHeaderBytes);
-        parser.body_limit(maximumResponseBodyBytes);
+        parser.body_limit(m_options.maximumBodyBytes);
         parser.skip(request.method == "HEAD");
         boost::system::error_code readError = co_await readOne(socket, buffer, parser);
         if (readError)
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -6,6 +6,7 @@
 #include "http_messages.h"
 
 #include "ibiswell/core/messages.h"
+#include "ibiswell/wire/codec.h"
 
 #include <deque>
 #include <string>
@@ -14,6 +15,9 @@
 
 namespace ibiswell {
 
+/** A response of a backend server must fit into a message between nodes. */
+inline constexpr std::size_t defaultMaximumBodyBytes = maximumPeerMessageBytes - (1u << 20);
+
 /** Adapts the client to a server that does not use HTTP in the default way. */
 struct HttpClientOptions
 {
@@ -28,6 +32,8 @@
     bool allowUnframedResponses = false;
     /** Whether TCP keep-alive probes close half-open idle connections within a few seconds. */
     bool enableKeepAliveProbes = false;
+    /** A longer body of a response is an error. */
+    std::size_t maximumBodyBytes = defaultMaximumBodyBytes;
     BufferBudget *bodies = nullptr; ///< For the bodies of responses. Null: not bounded.
 };
 
--- a/src/transport/object_store_client.cpp
+++ b/src/transport/object_store_client.cpp
@@ -10,7 +10,10 @@
 
 /** A store that is slow but available responds within this time. */
 constexpr Duration callTimeout = 2s;
-constexpr int maximumPages = 1000; // of one listing, with some 500 objects each
+/** A page holds about a megabyte, or one object more. */
+constexpr std::size_t maximumPageBytes = 4u << 20;
+/** Many times what the store holds of one kind at the size of the largest fleet. */
+constexpr std::size_t maximumListingBytes = 24u << 20;
 /** Names that are remembered, so that an unreadable object is logged once and not at each look. */
 constexpr std::size_t maximumLoggedUnreadable = 64;
 
@@ -18,6 +21,7 @@
 {
     HttpClientOptions options;
     options.enableKeepAliveProbes = true;
+    options.maximumBodyBytes = maximumPageBytes;
     return options;
 }
 
@@ -91,7 +95,7 @@
 Task<StoreReply> ObjectStoreClient::list(std::string kind, Freshness freshness)
 {
     StoreListing all;
-    int pages = 0;
+    std::size_t bytes = 0;
     for (;;) {
         HttpRequest request = m_format.listRequest(kind, all.lastName, freshness);
         StoreReply reply = co_await call(std::move(request), callTimeout, m_format.parseListing);
@@ -101,7 +105,8 @@
         logUnreadable(kind, page->unreadable);
         bool hasNextPage = page->hasMore && !page->lastName.empty();
         bool isRepeated = page->lastName == all.lastName;
-        if (hasNextPage && (isRepeated || ++pages >= maximumPages))
+        bytes += page->bytes;
+        if (hasNextPage && (isRepeated || bytes > maximumListingBytes))
             co_return Error {ErrorKind::PlatformUnavailable, "the listing does not end"};
         // A watch from the first page's position reports all changes during the later pages.
         if (!all.position.isKnown())
