Soak: a store that comes back from a copy, changes of the configuration, and their check

The soak changed no configuration, so it could not show CONFIG. An operator now writes versions with one key each, beside all other faults, writes again what a restored store has lost, and asks each node with the keys of the last two versions; excused as the users' page says (2 s after a change, 3 s after a fault of the node or of a busy machine, 8 s after one of the store). Each run ends with a return of the store, since each later change would heal what a node has missed.

--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -10,6 +10,7 @@
 
 #include "process/platform_deployment.h"
 #include "soak_clients.h"
+#include "soak_operator.h"
 #include "soak_record.h"
 #include "soak_target.h"
 
@@ -36,8 +37,11 @@
 constexpr int unreachedRate = 9000; // requests a second of all clients stay below
 constexpr int clientsPerNode = 16;
 constexpr Duration calmBefore = 4s; // the targets are warm by then
-constexpr Duration calmAfter = 4s;
+constexpr Duration calmAfter = 10s; // then each node must have the last configuration
 constexpr Duration graceTime = 6s; // from SIGTERM to SIGKILL
+constexpr Duration configCheckInterval = 300ms;
+constexpr Duration longestStoreFault = 4s;
+constexpr unsigned maximumOtherWrites = 40; // at once
 constexpr Duration lagInterval = 20ms;
 constexpr Duration lagLimit = 60ms;
 
@@ -51,24 +55,30 @@
 class NodeClaim
 {
 public:
-    NodeClaim(std::vector<bool> &claimed, int node)
+    NodeClaim(std::vector<bool> &claimed, SoakOperator &soakOperator, int node)
         : m_claimed(claimed)
+        , m_operator(soakOperator)
         , m_node(static_cast<std::size_t>(node))
         , m_isGranted(!claimed[m_node])
     {
+        if (m_isGranted)
+            m_operator.onNodeFault(node);
         m_claimed[m_node] = true;
     }
     NodeClaim(const NodeClaim &) = delete;
     NodeClaim &operator=(const NodeClaim &) = delete;
     ~NodeClaim()
     {
-        if (m_isGranted)
-            m_claimed[m_node] = false;
+        if (!m_isGranted)
+            return;
+        m_claimed[m_node] = false;
+        m_operator.onNodeCalm(static_cast<int>(m_node));
     }
     bool isGranted() const { return m_isGranted; }
 
 private:
     std::vector<bool> &m_claimed;
+    SoakOperator &m_operator;
     std::size_t m_node;
     bool m_isGranted;
 };
@@ -116,6 +126,7 @@
     Task<void> direct();
     const Fault &pickFault();
     Task<void> watchLag();
+    Task<void> checkConfig(int node);
     int pickNode() { return static_cast<int>(pickIndex(m_random, m_targets.size())); }
     TargetFaults makeFaults();
     Duration pick(Duration least, Duration most);
@@ -133,19 +144,31 @@
     Task<void> breakAllAnswers();
     Task<void> delayHeartbeats();
     Task<void> breakStore();
+    Task<void> restoreStore();
+    /**
+     * The store goes back to a copy that is some seconds old; what was written since is lost.
+     * @param writesFirst The operator writes again, and a change, before nodes reach the store.
+     */
+    Task<void> goBack(bool writesFirst);
+    Task<void> changeConfig();
+    /** Other writers of the store write some objects, so that its revision rises. */
+    void writeOthers();
     Task<void> occupyProcessors();
 
     Duration m_duration;
     Random m_random;
     test::PlatformDeployment m_platform;
+    SoakRecord m_record {coldPerSecond};
+    SoakOperator m_operator {m_platform, m_record, {unreachedRate, coldPerSecond}};
     std::vector<bool> m_claimedNodes; ///< See NodeClaim; outlives the faults in m_context.
     asio::io_context m_context {1};
-    SoakRecord m_record {coldPerSecond};
     std::vector<std::unique_ptr<SoakTarget>> m_targets;
     std::vector<std::unique_ptr<SoakClients>> m_clients;
     bool m_isEvacuated = false; ///< Zone "b".
     int m_storeFaults = 0;
     bool m_isStoreBroken = false;
+    bool m_isStoreRestoring = false;
+    int m_otherWrites = 0;
     std::map<std::string, int> m_played;
     BusyProcessors m_processors;
     TimePoint m_begin;
@@ -168,9 +191,6 @@
         m_clients.push_back(
             std::make_unique<SoakClients>(m_context, m_record, m_random, node, port));
     }
-    m_platform.writeStore(
-        "PUT", "/api/objects/config/main",
-        test::makeConfig(2, "shop", R"("key-1")", {unreachedRate, coldPerSecond}));
     for (int node = 0; node < nodes; ++node)
         REQUIRE(test::eventually([&] { return m_platform.isReady(node); }));
 }
@@ -183,9 +203,14 @@
     for (auto &clients : m_clients)
         clients->start(clientsPerNode);
     asio::co_spawn(m_context, watchLag(), asio::detached);
+    for (int node = 0; node < static_cast<int>(m_targets.size()); ++node)
+        asio::co_spawn(m_context, checkConfig(node), asio::detached);
     asio::co_spawn(m_context, direct(), asio::detached);
     m_context.run();
-    return m_record.violations(m_begin);
+    std::vector<std::string> violations = m_record.violations(m_begin);
+    const std::vector<std::string> &ofConfig = m_operator.violations();
+    violations.insert(violations.end(), ofConfig.begin(), ofConfig.end());
+    return violations;
 }
 
 std::string Soak::summary() const
@@ -193,7 +218,8 @@
     std::string text = fmt::format("{} requests;", m_record.attemptCount());
     for (const auto &[status, count] : m_record.statuses())
         text += fmt::format(" {}: {}", status, count);
-    text += fmt::format("; untold cold seconds: {}", m_record.untoldCount());
+    text += fmt::format("; untold cold seconds: {}; checks of the configuration: {}",
+                        m_record.untoldCount(), m_operator.checkCount());
     for (const auto &[fault, count] : m_played)
         text += fmt::format("; {} {}", fault, count);
     return text;
@@ -216,7 +242,10 @@
         asio::co_spawn(m_context, (this->*fault.play)(), asio::detached);
         co_await sleepFor(pick(50ms, 800ms));
     }
-    co_await sleepFor(graceTime + calmAfter);
+    co_await sleepFor(graceTime);
+    // Each later change would heal what a node has missed, so this one is the last.
+    co_await goBack(true);
+    co_await sleepFor(calmAfter);
     for (auto &clients : m_clients)
         clients->stop();
     co_await sleepFor(1s);
@@ -240,15 +269,26 @@
         TimePoint due = steadyNow() + lagInterval;
         co_await sleepFor(lagInterval);
         Duration lag = steadyNow() - due;
-        if (lag > lagLimit)
-            m_record.onLag(steadyNow(), lag);
+        if (lag <= lagLimit)
+            continue;
+        m_record.onLag(steadyNow(), lag);
+        m_operator.onBusy(steadyNow());
+    }
+}
+
+Task<void> Soak::checkConfig(int node)
+{
+    for (;;) {
+        co_await sleepFor(configCheckInterval);
+        auto checking = m_operator.check(node, m_platform.callerPort(node));
+        co_await std::move(checking);
     }
 }
 
 Task<void> Soak::pauseNode()
 {
     int node = pickNode();
-    NodeClaim claim(m_claimedNodes, node);
+    NodeClaim claim(m_claimedNodes, m_operator, node);
     if (!claim.isGranted())
         co_return;
     m_platform.node(node).signal(SIGSTOP);
@@ -259,7 +299,7 @@
 Task<void> Soak::killNode()
 {
     int node = pickNode();
-    NodeClaim claim(m_claimedNodes, node);
+    NodeClaim claim(m_claimedNodes, m_operator, node);
     if (!claim.isGranted())
         co_return;
     m_platform.removeNode(node);
@@ -270,7 +310,7 @@
 Task<void> Soak::stopNode()
 {
     int node = pickNode();
-    NodeClaim claim(m_claimedNodes, node);
+    NodeClaim claim(m_claimedNodes, m_operator, node);
     if (!claim.isGranted())
         co_return;
     m_platform.node(node).signal(SIGTERM);
@@ -317,12 +357,11 @@
     if (m_isEvacuated)
         co_return;
     m_isEvacuated = true;
-    const std::string evacuation = R"({"metadata": {"name": "b"}, "spec": {}})";
     // A write to a silent store would hold up this process, with all clients and targets.
     while (m_isStoreBroken)
         co_await sleepFor(100ms);
     int brokenBefore = m_storeFaults;
-    m_platform.writeStore("POST", "/api/objects/evacuations", evacuation);
+    m_operator.setEvacuated(true);
     co_await sleepFor(pick(3s, 5s));
     // Nodes that cannot read the store may not know of the evacuation.
     bool isKnown = m_storeFaults == brokenBefore && !m_isStoreBroken;
@@ -330,7 +369,7 @@
         m_targets[node]->turnCold(isKnown ? ColdCause::ZoneReturned : ColdCause::AnyMoment);
     while (m_isStoreBroken)
         co_await sleepFor(100ms);
-    m_platform.writeStore("DELETE", "/api/objects/evacuations/b");
+    m_operator.setEvacuated(false);
     m_isEvacuated = false;
 }
 
@@ -381,14 +420,67 @@
 
 Task<void> Soak::breakStore()
 {
+    if (m_isStoreBroken)
+        co_return;
     ++m_storeFaults;
     m_isStoreBroken = true;
+    m_operator.onStoreFault(steadyNow() + longestStoreFault);
     constexpr std::array modes {"busy", "many", "silent"};
     m_platform.setStoreFault(
         fmt::format(R"({{"mode": "{}"}})", modes[pickIndex(m_random, modes.size())]));
+    co_await sleepFor(pick(500ms, longestStoreFault));
+    m_platform.setStoreFault(R"({"mode": ""})");
+    m_isStoreBroken = false;
+    m_operator.onStoreFault(steadyNow());
+}
+
+Task<void> Soak::restoreStore()
+{
+    bool writesFirst = m_random() % 2 == 0;
+    co_await goBack(writesFirst);
+}
+
+Task<void> Soak::goBack(bool writesFirst)
+{
+    if (m_isStoreRestoring)
+        co_return;
+    m_isStoreRestoring = true;
+    m_platform.setStoreFault(R"({"copy": true})");
+    writeOthers();
+    m_operator.changeConfig();
     co_await sleepFor(pick(500ms, 4s));
+    while (m_isStoreBroken)
+        co_await sleepFor(100ms);
+    ++m_storeFaults;
+    m_isStoreBroken = true;
+    m_operator.onStoreFault(steadyNow() + longestStoreFault);
+    m_platform.setStoreFault(R"({"mode": "busy", "restore": true})");
+    if (writesFirst) {
+        m_operator.writeAgain();
+        m_operator.changeConfig();
+    }
+    writeOthers();
+    co_await sleepFor(pick(10ms, 800ms));
     m_platform.setStoreFault(R"({"mode": ""})");
     m_isStoreBroken = false;
+    if (!writesFirst) {
+        co_await sleepFor(pick(10ms, 1s));
+        m_operator.writeAgain();
+    }
+    m_operator.onStoreFault(steadyNow());
+    m_isStoreRestoring = false;
+}
+
+void Soak::writeOthers()
+{
+    int count = static_cast<int>(m_random() % maximumOtherWrites);
+    m_platform.raiseRevision(count, fmt::format("other-{}", m_otherWrites++));
+}
+
+Task<void> Soak::changeConfig()
+{
+    m_operator.changeConfig();
+    co_return;
 }
 
 Task<void> Soak::occupyProcessors()
@@ -413,6 +505,8 @@
                                          {"break-all-answers", &Soak::breakAllAnswers},
                                          {"late-heartbeats", &Soak::delayHeartbeats},
                                          {"break-store", &Soak::breakStore},
+                                         {"restore-store", &Soak::restoreStore},
+                                         {"change-config", &Soak::changeConfig},
                                          {"busy", &Soak::occupyProcessors}};
     return all;
 }
