--- a/include/ibiswell/core/store_position.h
+++ b/include/ibiswell/core/store_position.h
@@ -16,7 +16,7 @@
     std::uint64_t era = 0; ///< Rises each time that the store comes back from an older copy.
     std::uint64_t revision = 0; ///< Rises with each change within an era.
 
-    auto operator<=>(const StorePosition &) const = default;
+    auto operator<=>(const StorePosition &) const = default; // NOLINT(modernize-use-nullptr)
     /** Whether anything was read from the store at this position. */
     bool isKnown() const { return *this != StorePosition {}; }
 };
--- a/tests/process/endless_test.cpp
+++ b/tests/process/endless_test.cpp
@@ -204,6 +204,7 @@
         reportTarget(platform);
         int before = target.connections();
         std::vector<std::thread> clients;
+        clients.reserve(senders);
         for (int i = 0; i < senders; ++i)
             clients.emplace_back([&, i] {
                 Reply reply = platform.sendRequest(i % 2, "GET", "/d/1", "endless");
