Review: a store that is silent to some machines, ports away from the tests

Cause: the case on CONFIG needs a store that gives no answer to one machine while it serves the others; free ports of the scripts could be those of the project's own tests. Done: the store stand-in has several addresses, each of which can be silent; the proxy is gone; ports from 11000 to 17000.

--- a/review/lib-2/harness.cpp
+++ b/review/lib-2/harness.cpp
@@ -178,7 +178,7 @@
     // Below the ports that the system gives to outgoing connections, which could take a free one
     // before it is used.
     constexpr int lowest = 11000;
-    constexpr int highest = 30000;
+    constexpr int highest = 17000; // the project's own tests use those above
     static std::mt19937 random {std::random_device {}()};
     std::uniform_int_distribution<int> anyPort(lowest, highest);
     for (;;) {
@@ -458,15 +458,34 @@
 }
 
 Store::Store()
-    : m_server(freePort(), [this](Connection &connection, const Message &request) {
-        return handle(connection, request);
-    })
 {
+    addAddress();
+}
+
+int Store::addAddress()
+{
+    int port = freePort();
+    std::size_t index = m_doors.size();
+    m_doors.reserve(maximumAddresses);
+    m_doors.push_back(
+        std::make_unique<Door>(port, [this, index](Connection &connection, const Message &request) {
+            bool wasSilent = m_doors[index]->isSilent;
+            std::string response = respond(request);
+            while (wasSilent || m_doors[index]->isSilent) {
+                wasSilent = true; // the response is lost for good
+                sleepFor(1s);
+            }
+            return connection.send(response);
+        }));
+    return port;
 }
 
-bool Store::handle(Connection &connection, const Message &request)
+void Store::setSilent(int port, bool isSilent)
 {
-    return connection.send(respond(request));
+    for (const std::unique_ptr<Door> &door : m_doors) {
+        if (door->server.port() == port)
+            door->isSilent = isSilent;
+    }
 }
 
 std::string Store::respond(const Message &request)
@@ -607,60 +626,6 @@
         == 200;
 }
 
-Proxy::Proxy(int serverPort)
-    : m_port(freePort())
-    , m_serverPort(serverPort)
-{
-    int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = loopback(m_port);
-    constexpr int backlog = 128;
-    if (::bind(listener, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0
-        && ::listen(listener, backlog) == 0)
-        std::thread([this, listener] { accept(listener); }).detach();
-}
-
-void Proxy::accept(int listener)
-{
-    for (;;) {
-        auto client =
-            std::make_shared<Connection>(::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC));
-        std::shared_ptr<Connection> server = Connection::open(m_serverPort);
-        if (!server)
-            continue;
-        auto relay = std::make_shared<Relay>();
-        {
-            std::lock_guard lock(m_mutex);
-            m_relays.push_back(relay);
-        }
-        std::thread([=] { passOn(client, server, relay); }).detach();
-        std::thread([=] { passOn(server, client, relay); }).detach();
-    }
-}
-
-void Proxy::passOn(const std::shared_ptr<Connection> &from, const std::shared_ptr<Connection> &to,
-                   const std::shared_ptr<Relay> &relay)
-{
-    for (;;) {
-        std::string bytes = from->receive(10min);
-        if (relay->isSilent) {
-            if (bytes.empty())
-                return;
-            continue; // dropped
-        }
-        if (bytes.empty() || !to->send(bytes)) {
-            ::shutdown(to->descriptor(), SHUT_RDWR);
-            return;
-        }
-    }
-}
-
-void Proxy::silenceOpenConnections()
-{
-    std::lock_guard lock(m_mutex);
-    for (const std::shared_ptr<Relay> &relay : m_relays)
-        relay->isSilent = true;
-}
-
 Target::Target(const Node &node, std::string instance, Work work)
     : m_reportPort(node.reportPort())
     , m_instance(std::move(instance))
--- a/review/lib-2/harness.h
+++ b/review/lib-2/harness.h
@@ -143,12 +143,22 @@
     pid_t m_id = -1;
 };
 
-/** The platform's store, with a short linear history and no faults. */
+/**
+ * The platform's store, with a short linear history. Each machine may have an address of its own,
+ * so that the store can be silent to some machines while it serves the others and the operator.
+ */
 class Store
 {
 public:
     Store();
-    int port() const { return m_server.port(); }
+    int port() const { return m_doors.front()->server.port(); }
+    /** Opens another address; returns its port. */
+    int addAddress();
+    /**
+     * Whether machines that call @p port get no response. A call whose response is lost gets none
+     * later either, and its connection returns nothing further.
+     */
+    void setSilent(int port, bool isSilent);
     /** Writes an object as the operator does. */
     void write(const std::string &kind, const std::string &name, const std::string &spec);
 
@@ -164,7 +174,16 @@
         std::string kind;
         std::string text;
     };
-    bool handle(Connection &connection, const Message &request);
+    /** An address of the store. */
+    struct Door
+    {
+        Door(int port, Server::Handler handler)
+            : server(port, std::move(handler))
+        {
+        }
+        std::atomic<bool> isSilent = false;
+        Server server;
+    };
     std::string respond(const Message &request);
     std::string respondToWrite(const Message &request, const std::string &kind, std::string name);
     std::string list(const std::string &kind);
@@ -172,6 +191,7 @@
     static std::string objectText(const std::string &name, const Object &object);
     void record(const std::string &kind, const std::string &name, bool removed);
 
+    static constexpr std::size_t maximumAddresses = 8;
     static constexpr std::size_t keptEvents = 20; // older history is discarded
 
     std::mutex m_mutex;
@@ -179,7 +199,7 @@
     std::deque<Event> m_events;
     std::uint64_t m_discardedUntil = 0;
     std::uint64_t m_revision = 1;
-    Server m_server;
+    std::vector<std::unique_ptr<Door>> m_doors;
 };
 
 /** A node of the project, started with the command of its deploy file. */
@@ -208,30 +228,6 @@
     std::unique_ptr<Process> m_process;
 };
 
-/** Passes bytes on between its clients and a server, until connections are silenced. */
-class Proxy
-{
-public:
-    explicit Proxy(int serverPort);
-    int port() const { return m_port; }
-    /** Lets the open connections go silent for good, without a reset; new ones work. */
-    void silenceOpenConnections();
-
-private:
-    struct Relay
-    {
-        std::atomic<bool> isSilent = false;
-    };
-    void accept(int listener);
-    static void passOn(const std::shared_ptr<Connection> &from,
-                       const std::shared_ptr<Connection> &to, const std::shared_ptr<Relay> &relay);
-
-    int m_port;
-    int m_serverPort;
-    std::mutex m_mutex;
-    std::vector<std::shared_ptr<Relay>> m_relays;
-};
-
 /** A target beside a node: sends heartbeats, and runs requests by a handler. */
 class Target
 {
