--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,6 +1,8 @@
 #include "../lib-2/harness.h"
 
-#include <csignal>
+#include <algorithm>
+#include <atomic>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -11,47 +13,70 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t answerBytes = 12u << 20;
-constexpr std::size_t slowBytesPerSecond = 2560u << 10; // the answer takes about 4.8 s
-constexpr std::size_t usualBytesPerSecond = 8u << 20; // about 1.5 s, also across the SIGTERM
-constexpr int receiveBufferBytes = 128 << 10;
-constexpr int timeoutSeconds = 20; // of the routes
-constexpr auto clientDeadline = 15000ms;
-constexpr int clients = 2; // of each node: the nodes hold few long answers at once
+constexpr int timeoutSeconds = 5; // of the routes
+constexpr auto drainTime = 2000ms; // drain-s
+constexpr auto killAfterDeparture = 300ms;
+constexpr auto lateHeartbeatAfterDeparture = 2600ms;
+constexpr auto exitAfterDeparture = 3600ms; // "at times many seconds" after drain-s
+constexpr auto workTime = 1500ms; // of an order
+constexpr int clients = 4;
 
-struct Client
+struct Order
 {
-    int number = 0;
-    Node *node = nullptr;
-    bool isWhole = false;
+    std::string id;
+    Clock::time_point sentAt;
+    int status = 0; ///< 0: the connection was closed without an answer.
 };
 
-/** Sends an order on a connection and reads its long answer at a steady pace. */
-void order(Client &client, Record &record)
+int send(const Node &node, const std::string &method, const std::string &id)
 {
-    std::string id = "order-" + std::to_string(client.number);
-    auto connection = Connection::open(client.node->callerPort(), receiveBufferBytes);
-    std::string deadline = std::to_string(clientDeadline.count());
-    bool isSent = connection
-        && connection->send(
-            requestText("POST", "/y/" + id,
-                        {{"Host", "shop.example"}, {"Attempt-Id", id}, {"Deadline-Ms", deadline}},
-                        "two tiles"));
-    record.add("sent " + id + " to " + client.node->name() + ", deadline " + deadline + " ms");
-    if (!isSent)
-        return;
-    Clock::time_point start = Clock::now();
-    Message answer = connection->readSlowly(
-        clientDeadline, hasTrouble() ? slowBytesPerSecond : usualBytesPerSecond);
-    double seconds = std::chrono::duration<double>(Clock::now() - start).count();
-    client.isWhole =
-        answer.status() == 200 && answer.isComplete && !answer.field("response-signature").empty();
-    record.add("answer of " + id + ": status " + std::to_string(answer.status()) + ", "
-               + std::to_string(answer.body.size()) + " of " + answer.field("content-length")
-               + " bytes after " + std::to_string(seconds) + " s, "
-               + (answer.isComplete ? "whole" : "the node closed the connection before its end"));
+    std::string path = (method == "GET" ? "/x/" : "/y/") + id;
+    return exchange(
+               node.callerPort(),
+               requestText(method, path,
+                           {{"Host", "shop.example"}, {"Attempt-Id", id}, {"Deadline-Ms", "4000"}}))
+        .status();
 }
 
+/** Orders of some clients of one node, each after the answer to the last. */
+class Clients
+{
+public:
+    explicit Clients(const Node &node)
+        : m_node(node)
+    {
+        for (int i = 0; i < clients; ++i)
+            m_threads.emplace_back([this, i] { sendOrders(i); });
+    }
+    std::vector<Order> stop()
+    {
+        m_stops = true;
+        for (std::thread &thread : m_threads)
+            thread.join();
+        return m_orders;
+    }
+
+private:
+    void sendOrders(int client)
+    {
+        for (int i = 0; !m_stops; ++i) {
+            Order order {"order-" + std::to_string(client) + "-" + std::to_string(i), Clock::now()};
+            order.status = send(m_node, "POST", order.id);
+            {
+                std::lock_guard lock(m_mutex);
+                m_orders.push_back(order);
+            }
+            sleepFor(50ms);
+        }
+    }
+
+    const Node &m_node;
+    std::atomic<bool> m_stops = false;
+    std::mutex m_mutex;
+    std::vector<Order> m_orders;
+    std::vector<std::thread> m_threads;
+};
+
 void run(Script &script)
 {
     Record &record = script.record();
@@ -60,45 +85,70 @@
     store.write("config", "main", makeConfig(1, timeoutSeconds));
     Node shop(folder, "node-shop", "shop", store.port());
     Node desk(folder, "node-desk", "desk", store.port());
-    Target target(shop, "i-1", [&record](Connection &connection, const Message &request) {
-        std::size_t bytes = request.first == "POST" ? answerBytes : 2;
-        record.add("the target runs " + request.field("attempt-id"));
-        return connection.send(Target::answer(request, std::string(bytes, 'z')));
+    std::atomic<bool> isLeaving = false;
+    Target target(shop, "i-1", [&](Connection &connection, const Message &request) {
+        bool isOrder = request.first == "POST";
+        if (isOrder) {
+            record.add("the target runs " + request.field("attempt-id"));
+            sleepFor(workTime);
+        }
+        Fields more;
+        if (isLeaving)
+            more = {{"Server-Leaving", "1"}};
+        return connection.send(Target::answer(request, "done", more));
     });
-    if (!eventually(15s, [&] { return shop.isReady() && desk.isReady(); }))
+    if (!eventually(20s, [&] { return shop.isReady() && isServing(desk); }))
         script.end(Verdict::CouldNotRun);
-    if (!eventually(15s, [&] { return isServing(shop) && isServing(desk); }))
+    sleepFor(4s); // all machines have been in touch for stable-window-s
+    std::string lateHeartbeat = target.takeHeartbeat();
+    record.add("the target sends a heartbeat that is late on its way");
+    target.stopHeartbeats();
+    isLeaving = true;
+    int passedOn = send(desk, "GET", "last");
+    record.add("node-desk passes on an answer with Server-Leaving: status "
+               + std::to_string(passedOn));
+    int acknowledged = target.deregister();
+    Clock::time_point departure = Clock::now();
+    record.add("deregister is acknowledged: status " + std::to_string(acknowledged));
+    if (passedOn != 200 || acknowledged != 200)
         script.end(Verdict::CouldNotRun);
-    sleepFor(4s); // both machines have been in touch for stable-window-s
-    record.add(hasTrouble() ? "clients read slowly" : "clients read at a usual pace");
-    int cut = 0;
-    for (Node *node : {&shop, &desk}) {
-        std::vector<Client> orders;
-        orders.reserve(clients);
-        for (int i = 0; i < clients; ++i)
-            orders.push_back({i + (node == &desk ? clients : 0), node});
-        std::vector<std::thread> threads;
-        threads.reserve(orders.size());
-        for (Client &client : orders)
-            threads.emplace_back([&client, &record] { order(client, record); });
-        sleepFor(500ms); // all of them are passed on to the target by then
-        node->process().signal(SIGTERM);
-        record.add("SIGTERM to " + node->name());
-        for (std::thread &thread : threads)
-            thread.join();
-        for (const Client &client : orders)
-            cut += client.isWhole ? 0 : 1;
-        node->process().kill();
-        if (node == &shop) {
-            node->start();
-            if (!eventually(15s, [&] { return isServing(shop) && isServing(desk); }))
-                script.end(Verdict::CouldNotRun);
-            sleepFor(4s);
-        }
+    std::this_thread::sleep_until(departure + killAfterDeparture);
+    if (hasTrouble()) {
+        shop.process().kill();
+        record.add("SIGKILL to node-shop");
+        sleepFor(200ms);
+        shop.start();
+        record.add("node-shop is started again");
+    }
+    std::this_thread::sleep_until(departure + drainTime + 200ms);
+    Clients orders(desk);
+    std::this_thread::sleep_until(departure + lateHeartbeatAfterDeparture);
+    int status = target.deliverHeartbeat(lateHeartbeat);
+    record.add("the late heartbeat arrives: status " + std::to_string(status));
+    std::this_thread::sleep_until(departure + exitAfterDeparture);
+    target.end();
+    record.add("the target exits");
+    sleepFor(1s);
+    std::vector<Order> sent = orders.stop();
+    int reached = 0;
+    int lost = 0;
+    std::vector<Target::Run> runs = target.runs();
+    for (const Order &order : sent) {
+        bool hasRun = std::any_of(runs.begin(), runs.end(),
+                                  [&](const Target::Run &item) { return item.id == order.id; });
+        if (!hasRun)
+            continue;
+        ++reached;
+        lost += order.status == 200 ? 0 : 1;
+        double seconds = std::chrono::duration<double>(order.sentAt - departure).count();
+        record.add(order.id + ", sent to node-desk " + std::to_string(seconds)
+                   + " s after the acknowledgement, reached the target; its client got status "
+                   + std::to_string(order.status));
     }
-    record.add(std::to_string(cut) + " of " + std::to_string(2 * clients)
-               + " orders ran and have no complete answer");
-    script.end(cut > 0 ? Verdict::Broken : Verdict::Held);
+    record.add(std::to_string(reached) + " of " + std::to_string(sent.size())
+               + " orders that were sent later than drain-s reached the target; "
+               + std::to_string(lost) + " of them have no answer from it");
+    script.end(reached > 0 ? Verdict::Broken : Verdict::Held);
 }
 
 } // namespace
