--- a/review/lib-2/harness.cpp
+++ b/review/lib-2/harness.cpp
@@ -180,6 +180,7 @@
     constexpr int lowest = 11000;
     constexpr int highest = 17000; // the project's own tests use those above
     static std::mt19937 random {std::random_device {}()};
+    static std::set<int> given; // some are used much later
     std::uniform_int_distribution<int> anyPort(lowest, highest);
     for (;;) {
         int port = anyPort(random);
@@ -188,7 +189,7 @@
         bool isFree =
             ::bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
         ::close(descriptor);
-        if (isFree)
+        if (isFree && given.insert(port).second)
             return port;
     }
 }
