BROKEN: a response that is cut by a reset during an upload is not whole

Callers saw a signed 200 with a part of the body: a target answered a long upload with a 200 without a length, sent a part and reset the connection, or closed it with unread bytes, while the upload was still being sent. Cause: the operating system reports a reset once. The node sends and reads at the same time; when the send met the reset, the read saw an ordinary end, which ends a body without a length. A reset that meets the read first was refused already. Change: the result waits for the end of the send. A body that ends with its connection is whole only if the send was not ended by an error of the connection; broken_pipe is none, since a reset behind an ordinary close is reported so. checkEnd() in response_check.h is the rule. The head is read before the body: a target's statement that it did not run the request holds also when the body behind it is cut, as it did for the send that failed.

--- /dev/null
+++ b/include/ibiswell/core/response_check.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+/**
+ * Which responses are sound: the rules that all readers of responses share, whoever responds. They
+ * are plain functions of what was read, so that they do not depend on how it was read.
+ *
+ * Source of the rules: RFC 9110 and RFC 9112.
+ */
+namespace ibiswell {
+
+/** What is wrong with a response, in words; nothing when it is sound. */
+using ResponseDefect = std::optional<std::string>;
+
+/** What delimits the body of a response. */
+enum class BodyEnd {
+    Stated, ///< A length or the last chunk; also where there is no body.
+    ConnectionClose,
+};
+
+/** How the sending of the request ended, on the connection on which its response was read. */
+enum class SendOutcome {
+    Sent,
+    Stopped, ///< By the sender itself: the response arrived first.
+    PeerClosed, ///< The server had closed its side when a byte arrived that it no longer reads.
+    Failed,
+};
+
+/**
+ * Whether the body is whole. The operating system reports a reset once, to the send or to the read;
+ * after a send that failed, the read sees an ordinary end of the connection.
+ */
+ResponseDefect checkEnd(BodyEnd end, SendOutcome sending);
+
+} // namespace ibiswell
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -30,7 +30,7 @@
 /** A connection is closed after so many failed requests, since it remembers them. */
 constexpr std::size_t maximumFailedRequests = 32;
 constexpr int firstFailureStatus = 400;
-constexpr int firstFinalStatus = 200; // a lower one announces that the response follows
+constexpr int firstFinalStatus = 200;
 
 /** How long the connection may stay idle, from "Keep-Alive: timeout=SECONDS". */
 Duration idleLimitFrom(std::string_view keepAlive)
@@ -52,6 +52,34 @@
     return {kind, std::move(detail), Execution::Unknown};
 }
 
+/** An interim response announces that the final one follows. */
+bool isInterim(int status)
+{
+    return status < firstFinalStatus;
+}
+
+/** The head that was read; the body is empty. */
+HttpResponse headOf(const http::response_parser<http::string_body> &parser)
+{
+    HttpResponse head;
+    head.status = static_cast<int>(parser.get().result_int());
+    head.headers = endToEndFields(parser.get());
+    return head;
+}
+
+/**
+ * A send on a connection that the server had closed before it was reset fails with broken_pipe; any
+ * other error means that the server did not close the connection.
+ */
+SendOutcome sendOutcomeOf(const boost::system::error_code &error)
+{
+    if (!error)
+        return SendOutcome::Sent;
+    if (error == asio::error::operation_aborted)
+        return SendOutcome::Stopped;
+    return error == asio::error::broken_pipe ? SendOutcome::PeerClosed : SendOutcome::Failed;
+}
+
 } // namespace
 
 HttpClient::HttpClient(Endpoint server, HttpClientOptions options)
@@ -106,22 +134,21 @@
         keepIdle(std::move(*connection), defaultIdleLimit);
         co_return callerHasLeft();
     }
-    Reuse reuse;
     Duration remaining = std::max<Duration>(1ms, limit - (steadyNow() - start));
-    CallResult result;
+    Received received;
     {
         SocketDeadline deadline(connection->socket, remaining);
-        result = co_await exchangeOn(connection->socket, request, reuse);
-        if (deadline.hasPassed() && std::holds_alternative<Refusal>(result))
+        received = co_await exchangeOn(connection->socket, request);
+        if (deadline.hasPassed() && std::holds_alternative<Refusal>(received.result))
             co_return unknownOutcome(ErrorKind::DeadlineExceeded,
                                      "no complete response before the deadline");
     }
-    const HttpResponse *response = std::get_if<HttpResponse>(&result);
+    const HttpResponse *response = std::get_if<HttpResponse>(&received.result);
     if (response && response->status >= firstFailureStatus && !echoed.empty())
         connection->failedRequests.push_back(std::move(echoed));
-    if (reuse.allowed)
-        keepIdle(std::move(*connection), reuse.idleLimit);
-    co_return result;
+    if (received.reuse.allowed)
+        keepIdle(std::move(*connection), received.reuse.idleLimit);
+    co_return std::move(received.result);
 }
 
 void HttpClient::keepIdle(Connection connection, Duration idleLimit)
@@ -149,55 +176,77 @@
     return message;
 }
 
-Task<CallResult> HttpClient::exchangeOn(tcp::socket &socket, const HttpRequest &request,
-                                        Reuse &reuse)
+Task<HttpClient::Received> HttpClient::exchangeOn(tcp::socket &socket, const HttpRequest &request)
 {
     RequestMessage message = makeMessage(request);
     if (request.body.size() > maximumBytesSentAtOnce) {
-        auto exchanging = exchangeConcurrently(socket, message, request, reuse);
+        auto exchanging = exchangeConcurrently(socket, message, request);
         co_return co_await std::move(exchanging);
     }
-    auto [writeError, written] = co_await http::async_write(socket, message, asResult);
-    if (writeError)
+    auto [sendError, sent] = co_await http::async_write(socket, message, asResult);
+    if (sendError)
         co_await throwIfCancelled();
     // A server that closed the connection may have responded before.
-    CallResult result = co_await readResponse(socket, request, reuse);
-    if (writeError)
-        reuse = {};
-    co_return result;
+    Received received = co_await readResponse(socket, request);
+    co_return conclude(std::move(received), sendError);
 }
 
-Task<CallResult> HttpClient::exchangeConcurrently(tcp::socket &socket,
-                                                  const RequestMessage &message,
-                                                  const HttpRequest &request, Reuse &reuse)
+Task<HttpClient::Received> HttpClient::exchangeConcurrently(tcp::socket &socket,
+                                                            const RequestMessage &message,
+                                                            const HttpRequest &request)
 {
     using namespace asio::experimental::awaitable_operators;
-    bool sentWhole = false;
+    bool hasSent = false;
+    boost::system::error_code sendError;
     auto send = [&]() -> Task<void> {
         auto [error, count] = co_await http::async_write(socket, message, asResult);
-        sentWhole = !error;
+        hasSent = true;
+        sendError = error;
     };
-    auto receive = [&]() -> Task<std::optional<CallResult>> {
-        CallResult result = co_await readResponse(socket, request, reuse);
+    auto receive = [&]() -> Task<std::optional<Received>> {
+        Received received = co_await readResponse(socket, request);
         // The rest of the request is not wanted; this ends the sending.
         boost::system::error_code ignored;
-        if (!sentWhole)
+        if (!hasSent)
             socket.cancel(ignored);
-        co_return std::optional<CallResult>(std::move(result));
+        co_return std::optional<Received>(std::move(received));
     };
-    std::optional<CallResult> result = co_await (send() && receive());
+    std::optional<Received> received = co_await (send() && receive());
     co_await throwIfCancelled();
-    if (!sentWhole)
-        reuse = {};
-    co_return std::move(*result);
+    co_return conclude(std::move(*received), sendError);
+}
+
+HttpClient::Received HttpClient::conclude(Received received,
+                                          boost::system::error_code sendError) const
+{
+    if (sendError)
+        received.reuse = {};
+    ResponseDefect defect = checkEnd(received.end, sendOutcomeOf(sendError));
+    HttpResponse *response = std::get_if<HttpResponse>(&received.result);
+    if (!defect || !response)
+        return received;
+    if (statesNotRun(*response))
+        response->body.clear();
+    else
+        received.result = unknownOutcome(ErrorKind::ResponseTruncated, std::move(*defect));
+    return received;
+}
+
+bool HttpClient::statesNotRun(const HttpResponse &head) const
+{
+    return m_options.statesNotRun && m_options.statesNotRun(head);
 }
 
 /** A faulty server may send bytes without end to many requests at once, hence the budget. */
-Task<boost::system::error_code> HttpClient::readOne(tcp::socket &socket, beast::flat_buffer &buffer,
-                                                    ResponseParser &parser)
+Task<boost::system::error_code> HttpClient::readPart(Part part, tcp::socket &socket,
+                                                     beast::flat_buffer &buffer,
+                                                     ResponseParser &parser,
+                                                     BufferBudget::Reservation &reservation)
 {
-    BufferBudget::Reservation reservation(m_options.bodies);
-    while (!parser.is_done()) {
+    auto isComplete = [&] {
+        return part == Part::Head ? parser.is_header_done() : parser.is_done();
+    };
+    while (!isComplete()) {
         HttpRead step = co_await readSome(socket, buffer, parser);
         if (step.error)
             co_return step.error;
@@ -207,44 +256,58 @@
     co_return boost::system::error_code {};
 }
 
-Task<CallResult> HttpClient::readResponse(tcp::socket &socket, const HttpRequest &request,
-                                          Reuse &reuse)
+Task<HttpClient::Received> HttpClient::readResponse(tcp::socket &socket, const HttpRequest &request)
 {
     beast::flat_buffer buffer(maximumResponseHeaderBytes);
     for (int discarded = 0; discarded <= maximumMismatchedResponses; ++discarded) {
+        BufferBudget::Reservation reservation(m_options.bodies);
         ResponseParser parser;
         parser.header_limit(maximumResponseHeaderBytes);
         parser.body_limit(m_options.maximumBodyBytes);
         parser.skip(request.method == "HEAD");
-        boost::system::error_code readError = co_await readOne(socket, buffer, parser);
-        if (readError)
+        auto error = co_await readPart(Part::Head, socket, buffer, parser, reservation);
+        if (error) {
             co_await throwIfCancelled();
-        if (readError && !parser.is_header_done())
-            co_return unknownOutcome(ErrorKind::ConnectionLost, readError.message());
-        if (readError)
-            co_return unknownOutcome(ErrorKind::ResponseTruncated, readError.message());
-        if (parser.need_eof() && request.method != "HEAD" && !m_options.allowUnframedResponses)
-            co_return unknownOutcome(ErrorKind::ResponseTruncated,
-                                     "the response does not state its length");
-        bool keepAlive = parser.get().keep_alive();
-        Duration idleLimit = idleLimitFrom(parser.get()[http::field::keep_alive]);
-        http::response<http::string_body> message = parser.release();
-        HttpResponse response;
-        response.status = static_cast<int>(message.result_int());
-        response.headers = endToEndFields(message);
-        response.body = std::move(message.body());
-        if (response.status < firstFinalStatus)
+            ErrorKind kind =
+                parser.is_header_done() ? ErrorKind::ResponseTruncated : ErrorKind::ConnectionLost;
+            co_return Received {unknownOutcome(kind, error.message())};
+        }
+        HttpResponse response = headOf(parser);
+        if (isInterim(response.status))
             continue; // the final response follows
-        if (!namesRequest(response))
-            co_return unknownOutcome(ErrorKind::ResponseTruncated,
-                                     "the response does not name its request");
-        if (!isResponseTo(request, response))
+        if (std::optional<Refusal> refusal = checkHead(parser, response))
+            co_return Received {std::move(*refusal)};
+        bool isMatching = isResponseTo(request, response);
+        error = co_await readPart(Part::Whole, socket, buffer, parser, reservation);
+        if (error)
+            co_await throwIfCancelled();
+        if (error && isMatching && statesNotRun(response))
+            co_return Received {std::move(response)};
+        if (error)
+            co_return Received {unknownOutcome(ErrorKind::ResponseTruncated, error.message())};
+        if (!isMatching)
             continue;
-        reuse = {keepAlive && buffer.size() == 0 && discarded == 0, idleLimit};
-        co_return response;
+        BodyEnd end = parser.need_eof() ? BodyEnd::ConnectionClose : BodyEnd::Stated;
+        Reuse reuse {parser.keep_alive() && buffer.size() == 0 && discarded == 0,
+                     idleLimitFrom(parser.get()[http::field::keep_alive])};
+        response.body = std::move(parser.get().body());
+        co_return Received {std::move(response), end, reuse};
     }
-    co_return unknownOutcome(ErrorKind::ResponseTruncated,
-                             "received only responses to other requests");
+    co_return Received {
+        unknownOutcome(ErrorKind::ResponseTruncated, "received only responses to other requests")};
+}
+
+std::optional<Refusal> HttpClient::checkHead(const ResponseParser &parser,
+                                             const HttpResponse &head) const
+{
+    auto refuse = [](std::string detail) {
+        return unknownOutcome(ErrorKind::ResponseTruncated, std::move(detail));
+    };
+    if (parser.need_eof() && !m_options.allowUnframedResponses)
+        return refuse("the response does not state its length");
+    if (!namesRequest(head))
+        return refuse("the response does not name its request");
+    return std::nullopt;
 }
 
 bool HttpClient::isResponseTo(const HttpRequest &request, const HttpResponse &response) const
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -6,9 +6,11 @@
 #include "http_messages.h"
 
 #include "ibiswell/core/messages.h"
+#include "ibiswell/core/response_check.h"
 #include "ibiswell/wire/codec.h"
 
 #include <deque>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,6 +32,11 @@
     bool preserveHost = false;
     /** Whether the end of the connection may delimit a response that states no length. */
     bool allowUnframedResponses = false;
+    /**
+     * Whether a response states by its head alone that the request was not run; such a response is
+     * returned without its body when the body is cut. Null: none does.
+     */
+    std::function<bool(const HttpResponse &head)> statesNotRun;
     /** Whether TCP keep-alive probes close half-open idle connections within a few seconds. */
     bool enableKeepAliveProbes = false;
     /** A longer body of a response is an error. */
@@ -41,8 +48,9 @@
  * Sends HTTP/1.1 requests to one server over persistent connections, one request at a time on
  * each. A connection on which a request was not sent whole is not used again.
  *
- * The result is a complete response or a refusal, never a partial body. The refusal states "not
- * run" only when no byte of the request can have reached the server.
+ * The result is a complete response or a refusal, never a partial body. Which responses are sound
+ * is decided by response_check.h. The refusal states "not run" only when no byte of the request can
+ * have reached the server.
  */
 class HttpClient
 {
@@ -78,17 +86,32 @@
         Duration idleLimit {};
     };
 
+    /** What was received in response to a request, and the state of the connection after it. */
+    struct Received
+    {
+        CallResult result;
+        BodyEnd end = BodyEnd::Stated;
+        Reuse reuse {};
+    };
+
     using RequestMessage = http::request<http::span_body<const char>>;
 
     RequestMessage makeMessage(const HttpRequest &request) const;
-    Task<CallResult> exchangeOn(tcp::socket &socket, const HttpRequest &request, Reuse &reuse);
+    Task<Received> exchangeOn(tcp::socket &socket, const HttpRequest &request);
     /** Reads the response while the request is sent: a server may respond before it has read it. */
-    Task<CallResult> exchangeConcurrently(tcp::socket &socket, const RequestMessage &message,
-                                          const HttpRequest &request, Reuse &reuse);
-    /** Reads one response; the error is set when it is malformed, too large or ends early. */
-    Task<boost::system::error_code> readOne(tcp::socket &socket, beast::flat_buffer &buffer,
-                                            ResponseParser &parser);
-    Task<CallResult> readResponse(tcp::socket &socket, const HttpRequest &request, Reuse &reuse);
+    Task<Received> exchangeConcurrently(tcp::socket &socket, const RequestMessage &message,
+                                        const HttpRequest &request);
+    /** Completes what was received when the sending has ended too, with @p sendError or without. */
+    Received conclude(Received received, boost::system::error_code sendError) const;
+    enum class Part { Head, Whole };
+    /** Reads a response as far as @p part; the error is set when it is malformed or ends early. */
+    Task<boost::system::error_code> readPart(Part part, tcp::socket &socket,
+                                             beast::flat_buffer &buffer, ResponseParser &parser,
+                                             BufferBudget::Reservation &reservation);
+    Task<Received> readResponse(tcp::socket &socket, const HttpRequest &request);
+    /** Why the response with this head is not one to a request; nothing when it may be. */
+    std::optional<Refusal> checkHead(const ResponseParser &parser, const HttpResponse &head) const;
+    bool statesNotRun(const HttpResponse &head) const;
     /** False for a response without the echoed field: it may belong to any request. */
     bool namesRequest(const HttpResponse &response) const;
     bool isResponseTo(const HttpRequest &request, const HttpResponse &response) const;
--- a/src/transport/target_service.cpp
+++ b/src/transport/target_service.cpp
@@ -30,6 +30,19 @@
     return {downstreamPathName(call.route), call.context.team, call.context.priority};
 }
 
+/** Whether another server than the expected one received the request. */
+bool isMisdirected(const HeaderNames &names, const HttpResponse &response)
+{
+    return !names.expectedInstance.empty() && response.status == statusMisdirected;
+}
+
+/** Whether the backend server states that it did not run the request. */
+bool isNotExecuted(const HeaderNames &names, const HttpResponse &response)
+{
+    return !names.notExecuted.empty() && response.hasHeader(names.notExecuted);
+}
+
+/** @param dialect Must live as long as the options. */
 HttpClientOptions optionsFor(const Dialect &dialect, BufferBudget &bodies)
 {
     HttpClientOptions options;
@@ -37,6 +50,9 @@
     options.echoedField = dialect.responsesEchoRequestId ? dialect.names.requestId : "";
     options.preserveHost = std::holds_alternative<HostAndPrefix>(dialect.routeNaming);
     options.allowUnframedResponses = options.preserveHost;
+    options.statesNotRun = [&names = dialect.names](const HttpResponse &head) {
+        return isMisdirected(names, head) || isNotExecuted(names, head);
+    };
     return options;
 }
 
@@ -289,13 +305,13 @@
         return result;
     }
     const HttpResponse &response = std::get<HttpResponse>(result);
-    if (!names.expectedInstance.empty() && response.status == statusMisdirected) {
+    if (isMisdirected(names, response)) {
         m_gate->onUnreachable();
         return notRun(ErrorKind::TargetReplaced, "another instance uses the address");
     }
     if (m_gate)
         applyStatement(response);
-    if (!names.notExecuted.empty() && response.hasHeader(names.notExecuted))
+    if (isNotExecuted(names, response))
         return notRun(
             ErrorKind::BackendShed,
             fmt::format("the backend server did not run the request: status {}", response.status));
--- a/tests/process/endless_test.cpp
+++ b/tests/process/endless_test.cpp
@@ -3,6 +3,7 @@
  * the smallest VM, and serves others meanwhile.
  */
 
+#include "background_context.h"
 #include "platform_deployment.h"
 
 #include <doctest/doctest.h>
@@ -104,23 +105,17 @@
 {
 public:
     explicit EndlessServer(int port)
-        : m_acceptor(m_context,
+        : m_acceptor(m_context.get(),
                      {asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)})
-        , m_guard(asio::make_work_guard(m_context))
     {
-        asio::co_spawn(m_context, accept(), asio::detached);
-        m_thread = std::thread([this] { m_context.run(); });
+        asio::co_spawn(m_context.get(), accept(), asio::detached);
     }
     EndlessServer(const EndlessServer &) = delete;
     EndlessServer &operator=(const EndlessServer &) = delete;
-    ~EndlessServer()
-    {
-        m_context.stop();
-        m_thread.join();
-    }
+    ~EndlessServer() { m_context.stop(); }
     void setMessage(EndlessMessage message)
     {
-        asio::post(m_context, [this, message = std::move(message)] { m_message = message; });
+        asio::post(m_context.get(), [this, message = std::move(message)] { m_message = message; });
     }
     int connections() const { return m_connections; }
 
@@ -132,7 +127,7 @@
             if (error)
                 co_return;
             ++m_connections;
-            asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+            asio::co_spawn(m_context.get(), serve(std::move(socket)), asio::detached);
         }
     }
     Task<void> serve(tcp::socket socket)
@@ -143,12 +138,10 @@
             co_await sendEndlessly(socket, m_message);
     }
 
-    asio::io_context m_context {1};
+    BackgroundContext m_context;
     tcp::acceptor m_acceptor;
-    asio::executor_work_guard<asio::io_context::executor_type> m_guard;
     EndlessMessage m_message;
     std::atomic<int> m_connections {0};
-    std::thread m_thread;
 };
 
 /** Several clients that each send the message to @p port at the same time. */
@@ -167,20 +160,9 @@
     context.run_for(sendLimit);
 }
 
-/** The node beside the endless target of a deployment, whose target has reported. */
+/** The node beside the endless target of a deployment. */
 constexpr int besideEndless = 0;
 
-void reportTarget(PlatformDeployment &platform)
-{
-    Reply reply = request(
-        platform.reportPort(besideEndless), "POST", "/api/instances/i-0/heartbeat",
-        {{"Content-Type", "application/json"}},
-        fmt::format(R"({{"address": "127.0.0.1:{}", "born": 1000, "info": {{"service": "desk",
-            "slots": 19}}, "status": {{"state": "ready", "seq": 1}}}})",
-                    platform.targetPort(besideEndless)));
-    REQUIRE(reply.status == 200);
-}
-
 void checkMemory(PlatformDeployment &platform, int node, const EndlessMessage &message)
 {
     CHECK_MESSAGE(platform.node(node).peakMemoryBytes() < smallestVmBytes,
@@ -201,7 +183,7 @@
     REQUIRE(eventually([&] { return platform.isServing(1); }));
     for (const EndlessMessage &message : withBlockSizes(endlessResponses())) {
         target.setMessage(message);
-        reportTarget(platform);
+        platform.reportTarget(besideEndless, "desk");
         int before = target.connections();
         std::vector<std::thread> clients;
         clients.reserve(senders);
--- a/tests/process/platform_deployment.h
+++ b/tests/process/platform_deployment.h
@@ -134,8 +134,20 @@
     {
         request(targetPort(node), "POST", "/say", {}, body);
     }
+    /** Reports the target beside @p node, for a test that is the target itself. */
+    void reportTarget(int node, const std::string &service)
+    {
+        Reply reply = request(
+            reportPort(node), "POST", fmt::format("/api/instances/i-{}/heartbeat", node),
+            {{"Content-Type", "application/json"}},
+            fmt::format(R"({{"address": "127.0.0.1:{}", "born": 1000, "info": {{"service": "{}",
+                "slots": 19}}, "status": {{"state": "ready", "seq": {}}}}})",
+                        targetPort(node), service, ++m_reports));
+        REQUIRE(reply.status == 200);
+    }
     Reply sendRequest(int node, const std::string &method, const std::string &path,
-                      const std::string &id, const std::string &key = "key-1")
+                      const std::string &id, const std::string &key = "key-1",
+                      const std::string &body = "")
     {
         HttpClientOptions options;
         options.preserveHost = true;
@@ -147,7 +159,7 @@
                               {"Attempt-Id", id},
                               {"Deadline-Ms", "3000"},
                               {"Credential", key}},
-                             {}};
+                             body};
         Reply reply;
         auto storeReply = [&](const std::exception_ptr &, CallResult result) {
             const HttpResponse *response = std::get_if<HttpResponse>(&result);
@@ -197,6 +209,7 @@
     int m_firstPort;
     int m_storePortOfNodes;
     std::string m_folder;
+    int m_reports = 0; ///< That reportTarget() sent.
     bool m_keepsLogs = false; ///< For a look at a run that failed.
     std::unique_ptr<Process> m_store;
     std::vector<std::unique_ptr<Process>> m_targets;
--- /dev/null
+++ b/tests/response_cases.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "scripted_server.h"
+
+#include <fmt/format.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+/** Responses as bytes on the wire, sound and broken, for every reader of responses. */
+namespace ibiswell::test {
+
+/** A response and what its reader makes of it. */
+struct ResponseCase
+{
+    std::string what;
+    ScriptedResponse response;
+    int status = 0; ///< That the reader returns; 0: it refuses the response.
+    std::string body {};
+    /** The close of the connection delimits the body, which only a target's response may use. */
+    bool isUnframed = false;
+};
+
+inline constexpr std::string_view ownFields = "Attempt-Id: {id}\r\nResponse-Signature: s\r\n";
+
+/** A head of a response to the request, with further @p fields. */
+inline std::string headWith(std::string_view statusLine, std::string_view fields = {})
+{
+    return fmt::format("{}\r\n{}{}\r\n", statusLine, ownFields, fields);
+}
+
+inline std::string okWith(std::string_view fields)
+{
+    return headWith("HTTP/1.1 200 OK", fields);
+}
+
+/** Final responses that arrive while the body of the request is still being sent. */
+inline std::vector<ResponseCase> brokenResponsesDuringUpload()
+{
+    const std::string unframed = okWith("") + "a part of the body";
+    return {{"no length and a reset", {unframed, Ending::Reset}},
+            {"no length and a close with unread bytes", {unframed, Ending::CloseUnread}},
+            {"no length, no body and a reset", {okWith(""), Ending::Reset}},
+            {"no length and a reset behind an interim response",
+             {"HTTP/1.1 100 Continue\r\n\r\n" + unframed, Ending::Reset}},
+            {"failure without a length and a reset",
+             {headWith("HTTP/1.1 500 Failed") + "a part", Ending::Reset}},
+            {"length and a reset",
+             {okWith("Content-Length: 40\r\n") + "a part of the body", Ending::Reset}},
+            {"chunks and a reset",
+             {okWith("Transfer-Encoding: chunked\r\n") + "4\r\ndone\r\n", Ending::Reset}},
+            {"status 000", {headWith("HTTP/1.1 000 Zero", "Content-Length: 4\r\n") + "done"}}};
+}
+
+inline std::vector<ResponseCase> soundResponsesDuringUpload()
+{
+    const std::string sized = okWith("Content-Length: 4\r\n") + "done";
+    const std::string chunked = okWith("Transfer-Encoding: chunked\r\n") + "4\r\ndone\r\n0\r\n\r\n";
+    const std::string unframed = okWith("") + "done";
+    std::vector<ResponseCase> cases;
+    for (Ending ending : {Ending::KeepOpen, Ending::Close, Ending::CloseSending, Ending::Reset,
+                          Ending::CloseUnread}) {
+        cases.push_back({"length", {sized, ending}, 200, "done"});
+        cases.push_back({"chunks", {chunked, ending}, 200, "done"});
+    }
+    cases.push_back(
+        {"no length and the end of sending", {unframed, Ending::CloseSending}, 200, "done", true});
+    cases.push_back({"no length and a close behind the whole request",
+                     {unframed, Ending::Close, true},
+                     200,
+                     "done",
+                     true});
+    cases.push_back({"interim response, no length and the end of sending",
+                     {"HTTP/1.1 100 Continue\r\n\r\n" + unframed, Ending::CloseSending},
+                     200,
+                     "done",
+                     true});
+    return cases;
+}
+
+/** Responses that state by their head that the request was not run, whatever becomes of the body.
+ */
+inline std::vector<ResponseCase> notRunDuringUpload()
+{
+    const std::string refusal = headWith("HTTP/1.1 503 Full", "Not-Executed: 1\r\n");
+    const std::string sized =
+        headWith("HTTP/1.1 503 Full", "Not-Executed: 1\r\nContent-Length: 4\r\n") + "full";
+    std::vector<ResponseCase> cases;
+    for (Ending ending :
+         {Ending::KeepOpen, Ending::CloseSending, Ending::Reset, Ending::CloseUnread})
+        cases.push_back({"not run, with a length", {sized, ending}, 503, "full"});
+    for (Ending ending : {Ending::CloseSending, Ending::Reset, Ending::CloseUnread})
+        cases.push_back({"not run, without a length", {refusal, ending}, 503, "", true});
+    return cases;
+}
+
+} // namespace ibiswell::test
