BROKEN: a number that is no status of a response is not one

Callers saw a number above 599 as the signed status of an answer, and behind a message with a number below 100 at times what stood there, as the answer. Cause: the parser takes any three digits for a status, and each number under 200 counted as an interim response, whose successor is the final one. Change: checkHead() asks for 100 to 599 before anything behind the head is read, and refuses 101, since no node asks for another protocol.

--- a/include/ibiswell/core/messages.h
+++ b/include/ibiswell/core/messages.h
@@ -26,6 +26,11 @@
     bool operator==(const HeaderField &) const = default;
 };
 
+bool equalIgnoringCase(std::string_view a, std::string_view b);
+
+/** Hop-by-hop fields concern a single connection and are never forwarded. */
+bool isHopByHop(std::string_view fieldName);
+
 /** A complete HTTP request. */
 struct HttpRequest
 {
--- a/include/ibiswell/core/response_check.h
+++ b/include/ibiswell/core/response_check.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "ibiswell/core/messages.h"
+
 #include <optional>
 #include <string>
+#include <vector>
 
 /**
  * Which responses are sound: the rules that all readers of responses share, whoever responds. They
@@ -14,6 +17,19 @@
 /** What is wrong with a response, in words; nothing when it is sound. */
 using ResponseDefect = std::optional<std::string>;
 
+/** The head of a response as it was received, with the fields that concern its connection. */
+struct ResponseHead
+{
+    int status = 0;
+    std::vector<HeaderField> fields;
+};
+
+/** Whether the final response follows the one with this status. */
+bool isInterim(int status);
+
+/** Checks a head, interim or final, before anything behind it is read. */
+ResponseDefect checkHead(const ResponseHead &head);
+
 /** What delimits the body of a response. */
 enum class BodyEnd {
     Stated, ///< A length or the last chunk; also where there is no body.
--- a/src/core/messages.cpp
+++ b/src/core/messages.cpp
@@ -1,12 +1,23 @@
 #include "ibiswell/core/messages.h"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 
 namespace ibiswell {
 
 namespace {
 
+const HeaderField *findField(const std::vector<HeaderField> &fields, std::string_view name)
+{
+    auto found = std::find_if(fields.begin(), fields.end(), [&](const HeaderField &field) {
+        return equalIgnoringCase(field.name, name);
+    });
+    return found == fields.end() ? nullptr : &*found;
+}
+
+} // namespace
+
 bool equalIgnoringCase(std::string_view a, std::string_view b)
 {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) {
@@ -15,16 +26,16 @@
     });
 }
 
-const HeaderField *findField(const std::vector<HeaderField> &fields, std::string_view name)
+bool isHopByHop(std::string_view fieldName)
 {
-    auto found = std::find_if(fields.begin(), fields.end(), [&](const HeaderField &field) {
-        return equalIgnoringCase(field.name, name);
-    });
-    return found == fields.end() ? nullptr : &*found;
+    constexpr std::array<std::string_view, 11> names {
+        "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection",
+        "te",         "trailer",    "transfer-encoding",  "content-length",      "upgrade",
+        "expect"};
+    return std::any_of(names.begin(), names.end(),
+                       [&](std::string_view name) { return equalIgnoringCase(name, fieldName); });
 }
 
-} // namespace
-
 std::string_view HttpRequest::header(std::string_view name) const
 {
     const HeaderField *field = findField(headers, name);
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -30,7 +30,6 @@
 /** A connection is closed after so many failed requests, since it remembers them. */
 constexpr std::size_t maximumFailedRequests = 32;
 constexpr int firstFailureStatus = 400;
-constexpr int firstFinalStatus = 200;
 
 /** How long the connection may stay idle, from "Keep-Alive: timeout=SECONDS". */
 Duration idleLimitFrom(std::string_view keepAlive)
@@ -52,19 +51,9 @@
     return {kind, std::move(detail), Execution::Unknown};
 }
 
-/** An interim response announces that the final one follows. */
-bool isInterim(int status)
+ResponseHead headOf(const http::response_parser<http::string_body> &parser)
 {
-    return status < firstFinalStatus;
-}
-
-/** The head that was read; the body is empty. */
-HttpResponse headOf(const http::response_parser<http::string_body> &parser)
-{
-    HttpResponse head;
-    head.status = static_cast<int>(parser.get().result_int());
-    head.headers = endToEndFields(parser.get());
-    return head;
+    return {static_cast<int>(parser.get().result_int()), toFields(parser.get())};
 }
 
 /**
@@ -272,10 +261,13 @@
                 parser.is_header_done() ? ErrorKind::ResponseTruncated : ErrorKind::ConnectionLost;
             co_return Received {unknownOutcome(kind, error.message())};
         }
-        HttpResponse response = headOf(parser);
-        if (isInterim(response.status))
-            continue; // the final response follows
-        if (std::optional<Refusal> refusal = checkHead(parser, response))
+        ResponseHead head = headOf(parser);
+        if (ResponseDefect defect = checkHead(head))
+            co_return Received {unknownOutcome(ErrorKind::ResponseTruncated, std::move(*defect))};
+        if (isInterim(head.status))
+            continue;
+        HttpResponse response {head.status, endToEndFields(std::move(head.fields)), {}};
+        if (std::optional<Refusal> refusal = refuseHead(parser, response))
             co_return Received {std::move(*refusal)};
         bool isMatching = isResponseTo(request, response);
         error = co_await readPart(Part::Whole, socket, buffer, parser, reservation);
@@ -297,8 +289,8 @@
         unknownOutcome(ErrorKind::ResponseTruncated, "received only responses to other requests")};
 }
 
-std::optional<Refusal> HttpClient::checkHead(const ResponseParser &parser,
-                                             const HttpResponse &head) const
+std::optional<Refusal> HttpClient::refuseHead(const ResponseParser &parser,
+                                              const HttpResponse &head) const
 {
     auto refuse = [](std::string detail) {
         return unknownOutcome(ErrorKind::ResponseTruncated, std::move(detail));
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -109,8 +109,8 @@
                                              beast::flat_buffer &buffer, ResponseParser &parser,
                                              BufferBudget::Reservation &reservation);
     Task<Received> readResponse(tcp::socket &socket, const HttpRequest &request);
-    /** Why the response with this head is not one to a request; nothing when it may be. */
-    std::optional<Refusal> checkHead(const ResponseParser &parser, const HttpResponse &head) const;
+    /** Refuses what this client does not read from its server, though other clients may. */
+    std::optional<Refusal> refuseHead(const ResponseParser &parser, const HttpResponse &head) const;
     bool statesNotRun(const HttpResponse &head) const;
     /** False for a response without the echoed field: it may belong to any request. */
     bool namesRequest(const HttpResponse &response) const;
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -47,7 +47,7 @@
     HttpRequest request;
     request.method = std::string(message.method_string());
     request.path = std::string(message.target());
-    request.headers = endToEndFields(message);
+    request.headers = endToEndFields(toFields(message));
     request.body = std::move(message.body());
     return request;
 }
--- a/tests/response_cases.h
+++ b/tests/response_cases.h
@@ -35,6 +35,47 @@
     return headWith("HTTP/1.1 200 OK", fields);
 }
 
+inline constexpr std::string_view sizedField = "Content-Length: 4\r\n"; ///< Of the body "done".
+inline constexpr std::string_view chunkedField = "Transfer-Encoding: chunked\r\n";
+inline constexpr std::string_view doneInChunks = "4\r\ndone\r\n0\r\n\r\n";
+
+/** Stands behind a broken message; it must never be taken for the response. */
+inline std::string nextResponse()
+{
+    return okWith("Content-Length: 6\r\n") + "behind";
+}
+
+inline std::vector<ResponseCase> brokenStatuses()
+{
+    std::vector<ResponseCase> cases;
+    for (const char *status :
+         {"000", "000 Zero", "001 One", "099 Low", "600 High", "700 High", "999 High", "20 OK",
+          "2000 OK", "-20 OK", "+20 OK", "2x0 OK", "OK", "200", " 200 OK", "200 a\x01"}) {
+        std::string head = headWith(fmt::format("HTTP/1.1 {}", status), sizedField);
+        cases.push_back({fmt::format("status \"{}\"", status), {head + "done" + nextResponse()}});
+        head = headWith(fmt::format("HTTP/1.1 {}", status));
+        cases.push_back({fmt::format("status \"{}\" without a body", status),
+                         {head + nextResponse(), Ending::CloseSending}});
+    }
+    for (const char *line : {"HTTP/2.0 200 OK", "HTTPS/1.1 200 OK", "", " HTTP/1.1 200 OK"})
+        cases.push_back(
+            {fmt::format("status line \"{}\"", line), {headWith(line, sizedField) + "done"}});
+    return cases;
+}
+
+inline std::vector<ResponseCase> soundStatuses()
+{
+    std::vector<ResponseCase> cases;
+    for (const char *line :
+         {"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 226 IM Used",
+          "HTTP/1.1 299 Any", "HTTP/1.1 302 Found", "HTTP/1.1 404 Not Found", "HTTP/1.1 499 Any",
+          "HTTP/1.1 500 Failed", "HTTP/1.1 599 Any"}) {
+        int status = std::stoi(std::string(line).substr(std::string_view("HTTP/1.1 ").size()));
+        cases.push_back({line, {headWith(line, sizedField) + "done"}, status, "done"});
+    }
+    return cases;
+}
+
 /** Final responses that arrive while the body of the request is still being sent. */
 inline std::vector<ResponseCase> brokenResponsesDuringUpload()
 {
--- a/tests/response_reader_test.cpp
+++ b/tests/response_reader_test.cpp
@@ -33,6 +33,12 @@
     return options;
 }
 
+/** As the clients of the platform's stores and the operator's command read responses. */
+HttpClientOptions defaultOptions()
+{
+    return {};
+}
+
 /** Sends a request to a server that sends @p response; returns what the reader returns. */
 CallResult exchange(const HttpClientOptions &options, const ScriptedResponse &response,
                     std::size_t bodyBytes = 0)
@@ -89,6 +95,28 @@
     CHECK_MESSAGE(isWhole, sound.what << ": " << describe(result));
 }
 
+/** Whichever server responds: no reader returns any of these. */
+void checkAllRefused(const std::vector<ResponseCase> &cases)
+{
+    for (const ResponseCase &broken : cases) {
+        for (const HttpClientOptions &options : {targetOptions(), defaultOptions()})
+            checkRefused(broken, exchange(options, broken.response));
+    }
+}
+
+/** Every reader returns these, but only a target's response may end with its connection. */
+void checkAllReturned(const std::vector<ResponseCase> &cases)
+{
+    for (const ResponseCase &sound : cases) {
+        checkReturned(sound, exchange(targetOptions(), sound.response));
+        CallResult result = exchange(defaultOptions(), sound.response);
+        if (sound.isUnframed)
+            checkRefused(sound, result);
+        else
+            checkReturned(sound, result);
+    }
+}
+
 } // namespace
 
 // Guards against the incident BROKEN: a part of a body reached the caller as a whole one, since the
@@ -119,3 +147,13 @@
         }
     }
 }
+
+TEST_CASE("BROKEN: a response whose status is none is refused by every reader")
+{
+    checkAllRefused(brokenStatuses());
+}
+
+TEST_CASE("a response with any status of a final response is returned by every reader")
+{
+    checkAllReturned(soundStatuses());
+}
