BROKEN: an interim response that states a body is not skipped

Callers could get as their answer what a target had sent as the body of a message with a number from 100 to 199. Cause: an interim response ends with its head, so that the bytes behind it were read as the final one, also where the head states a length or chunks. Evidence: the new test fails on the code before in 4 of 7 cases (100 and 103, with a length and in chunks): the response in the body was returned. Found beside it: a sound final response behind four interim ones was refused, since interim responses counted as responses to other requests, of which two are discarded; the second new test fails on the code before. Change: checkHead() refuses an interim response that states a body; a length of 0 states none. Interim responses have a bound of their own, 32 of them, and no longer keep the connection from being used again.

--- a/src/core/response_check.cpp
+++ b/src/core/response_check.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace ibiswell {
 
 namespace {
@@ -20,6 +22,31 @@
     return std::nullopt;
 }
 
+const HeaderField *findField(const ResponseHead &head, std::string_view name)
+{
+    auto hasName = [&](const HeaderField &field) { return equalIgnoringCase(field.name, name); };
+    auto found = std::find_if(head.fields.begin(), head.fields.end(), hasName);
+    return found == head.fields.end() ? nullptr : &*found;
+}
+
+/** Whether the head states a body that is not empty. */
+bool statesBody(const ResponseHead &head)
+{
+    const HeaderField *length = findField(head, "content-length");
+    return findField(head, "transfer-encoding") || (length && length->value != "0");
+}
+
+/**
+ * A message that has no body ends with its head, whatever the head states. Where it states a body,
+ * what follows may be that body or the next response.
+ */
+ResponseDefect checkFraming(const ResponseHead &head)
+{
+    if (isInterim(head.status) && statesBody(head))
+        return fmt::format("a response with status {} has no body", head.status);
+    return std::nullopt;
+}
+
 } // namespace
 
 bool isInterim(int status)
@@ -29,7 +56,10 @@
 
 ResponseDefect checkHead(const ResponseHead &head)
 {
-    return checkStatus(head.status);
+    ResponseDefect defect = checkStatus(head.status);
+    if (!defect)
+        defect = checkFraming(head);
+    return defect;
 }
 
 ResponseDefect checkEnd(BodyEnd end, SendOutcome sending)
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -27,6 +27,8 @@
 constexpr Duration idleMargin = 1s;
 /** Number of responses to earlier requests that are discarded before the matching one. */
 constexpr int maximumMismatchedResponses = 2;
+/** Number of interim responses that are read before the final one. */
+constexpr int maximumInterimResponses = 32;
 /** A connection is closed after so many failed requests, since it remembers them. */
 constexpr std::size_t maximumFailedRequests = 32;
 constexpr int firstFailureStatus = 400;
@@ -248,7 +250,9 @@
 Task<HttpClient::Received> HttpClient::readResponse(tcp::socket &socket, const HttpRequest &request)
 {
     beast::flat_buffer buffer(maximumResponseHeaderBytes);
-    for (int discarded = 0; discarded <= maximumMismatchedResponses; ++discarded) {
+    int mismatched = 0;
+    int interim = 0;
+    while (mismatched <= maximumMismatchedResponses && interim <= maximumInterimResponses) {
         BufferBudget::Reservation reservation(m_options.bodies);
         ResponseParser parser;
         parser.header_limit(maximumResponseHeaderBytes);
@@ -264,8 +268,10 @@
         ResponseHead head = headOf(parser);
         if (ResponseDefect defect = checkHead(head))
             co_return Received {unknownOutcome(ErrorKind::ResponseTruncated, std::move(*defect))};
-        if (isInterim(head.status))
+        if (isInterim(head.status)) {
+            ++interim;
             continue;
+        }
         HttpResponse response {head.status, endToEndFields(std::move(head.fields)), {}};
         if (std::optional<Refusal> refusal = refuseHead(parser, response))
             co_return Received {std::move(*refusal)};
@@ -277,16 +283,19 @@
             co_return Received {std::move(response)};
         if (error)
             co_return Received {unknownOutcome(ErrorKind::ResponseTruncated, error.message())};
-        if (!isMatching)
+        if (!isMatching) {
+            ++mismatched;
             continue;
+        }
         BodyEnd end = parser.need_eof() ? BodyEnd::ConnectionClose : BodyEnd::Stated;
-        Reuse reuse {parser.keep_alive() && buffer.size() == 0 && discarded == 0,
+        Reuse reuse {parser.keep_alive() && buffer.size() == 0 && mismatched == 0,
                      idleLimitFrom(parser.get()[http::field::keep_alive])};
         response.body = std::move(parser.get().body());
         co_return Received {std::move(response), end, reuse};
     }
     co_return Received {
-        unknownOutcome(ErrorKind::ResponseTruncated, "received only responses to other requests")};
+        unknownOutcome(ErrorKind::ResponseTruncated,
+                       "received only interim responses, or responses to other requests")};
 }
 
 std::optional<Refusal> HttpClient::refuseHead(const ResponseParser &parser,
--- a/tests/response_cases.h
+++ b/tests/response_cases.h
@@ -76,6 +76,40 @@
     return cases;
 }
 
+inline std::vector<ResponseCase> brokenInterimResponses()
+{
+    std::vector<ResponseCase> cases {
+        {"another protocol",
+         {headWith("HTTP/1.1 101 Switching Protocols", "Upgrade: other\r\n") + nextResponse()}},
+        {"no final response", {headWith("HTTP/1.1 103 Early Hints"), Ending::CloseSending}},
+        {"a broken field", {headWith("HTTP/1.1 103 Early Hints", "X Y: z\r\n") + nextResponse()}}};
+    std::string body = nextResponse();
+    std::string lengthField = fmt::format("Content-Length: {}\r\n", body.size());
+    for (const char *line : {"HTTP/1.1 100 Continue", "HTTP/1.1 103 Early Hints"}) {
+        cases.push_back(
+            {fmt::format("{} with a body by length", line), {headWith(line, lengthField) + body}});
+        cases.push_back(
+            {fmt::format("{} with a body in chunks", line), {headWith(line, chunkedField) + body}});
+    }
+    return cases;
+}
+
+inline std::vector<ResponseCase> soundInterimResponses()
+{
+    const std::string hints = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    const std::string final = okWith(sizedField) + "done";
+    return {{"one", {hints + final}, 200, "done"},
+            {"of length 0",
+             {"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n" + final},
+             200,
+             "done"},
+            {"several",
+             {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + hints + hints
+              + "HTTP/1.1 199 Other\r\n\r\n" + final},
+             200,
+             "done"}};
+}
+
 /** Final responses that arrive while the body of the request is still being sent. */
 inline std::vector<ResponseCase> brokenResponsesDuringUpload()
 {
--- a/tests/response_reader_test.cpp
+++ b/tests/response_reader_test.cpp
@@ -157,3 +157,13 @@
 {
     checkAllReturned(soundStatuses());
 }
+
+TEST_CASE("BROKEN: an interim response that is none is not followed by the final one")
+{
+    checkAllRefused(brokenInterimResponses());
+}
+
+TEST_CASE("interim responses before the final one are skipped by every reader")
+{
+    checkAllReturned(soundInterimResponses());
+}
