BROKEN: a response whose body has no certain end is refused

Callers could get a signed success with bytes that are not the target's body: a body under the transfer coding gzip, with the field that says so taken away; chunks with their sizes; a 204 in the place of a body. Cause: the parser reads a response with a coding that it does not know to the end of the connection, or undoes the chunks and leaves the rest, and the coding concerns one connection, so it is not passed on. Requests with such a coding were refused already; responses had no such check. The other broken lengths and chunks were refused already; they stay as checks. Change: checkHead() refuses any transfer coding but "chunked" alone, one that HTTP/1.0 states, and a body that a 204 states. The rule for codings is now one function, which requests use too.

--- a/include/ibiswell/core/response_check.h
+++ b/include/ibiswell/core/response_check.h
@@ -21,9 +21,16 @@
 struct ResponseHead
 {
     int status = 0;
+    bool isHttp11 = true; ///< HTTP/1.0 otherwise.
     std::vector<HeaderField> fields;
 };
 
+/**
+ * Whether fields state a transfer coding other than "chunked" alone. Without the others, the bytes
+ * are not those of the body, and after an unknown one its end is not known either.
+ */
+bool hasUnknownCoding(const std::vector<HeaderField> &fields);
+
 /** Whether the final response follows the one with this status. */
 bool isInterim(int status);
 
--- a/src/core/response_check.cpp
+++ b/src/core/response_check.cpp
@@ -11,6 +11,7 @@
 constexpr int firstInterimStatus = 100;
 constexpr int switchingProtocolsStatus = 101;
 constexpr int firstFinalStatus = 200;
+constexpr int noContentStatus = 204;
 constexpr int lastStatus = 599;
 
 ResponseDefect checkStatus(int status)
@@ -22,28 +23,43 @@
     return std::nullopt;
 }
 
-const HeaderField *findField(const ResponseHead &head, std::string_view name)
+constexpr std::string_view codingField = "transfer-encoding";
+
+bool isCoding(const HeaderField &field)
+{
+    return equalIgnoringCase(field.name, codingField);
+}
+
+bool statesCoding(const ResponseHead &head)
+{
+    return std::any_of(head.fields.begin(), head.fields.end(), isCoding);
+}
+
+bool statesLength(const ResponseHead &head)
 {
-    auto hasName = [&](const HeaderField &field) { return equalIgnoringCase(field.name, name); };
-    auto found = std::find_if(head.fields.begin(), head.fields.end(), hasName);
-    return found == head.fields.end() ? nullptr : &*found;
+    return std::any_of(head.fields.begin(), head.fields.end(), [](const HeaderField &field) {
+        return equalIgnoringCase(field.name, "content-length") && field.value != "0";
+    });
 }
 
-/** Whether the head states a body that is not empty. */
-bool statesBody(const ResponseHead &head)
+/** Whether the message ends with its head; the head of a 304 states the body of another message. */
+bool hasNoBody(int status)
 {
-    const HeaderField *length = findField(head, "content-length");
-    return findField(head, "transfer-encoding") || (length && length->value != "0");
+    return isInterim(status) || status == noContentStatus;
 }
 
 /**
- * A message that has no body ends with its head, whatever the head states. Where it states a body,
- * what follows may be that body or the next response.
+ * What follows a message without a body is the next response. Where such a message states a body,
+ * what follows may be either.
  */
 ResponseDefect checkFraming(const ResponseHead &head)
 {
-    if (isInterim(head.status) && statesBody(head))
+    if (hasNoBody(head.status) && (statesCoding(head) || statesLength(head)))
         return fmt::format("a response with status {} has no body", head.status);
+    if (hasUnknownCoding(head.fields))
+        return "the transfer coding of the response is not supported";
+    if (!head.isHttp11 && statesCoding(head))
+        return "a response of HTTP/1.0 has no transfer coding";
     return std::nullopt;
 }
 
@@ -54,6 +70,15 @@
     return status >= firstInterimStatus && status < firstFinalStatus;
 }
 
+bool hasUnknownCoding(const std::vector<HeaderField> &fields)
+{
+    auto coding = std::find_if(fields.begin(), fields.end(), isCoding);
+    if (coding == fields.end())
+        return false;
+    bool isRepeated = std::any_of(coding + 1, fields.end(), isCoding);
+    return isRepeated || !equalIgnoringCase(coding->value, "chunked");
+}
+
 ResponseDefect checkHead(const ResponseHead &head)
 {
     ResponseDefect defect = checkStatus(head.status);
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -55,7 +55,8 @@
 
 ResponseHead headOf(const http::response_parser<http::string_body> &parser)
 {
-    return {static_cast<int>(parser.get().result_int()), toFields(parser.get())};
+    const auto &message = parser.get();
+    return {static_cast<int>(message.result_int()), message.version() >= 11, toFields(message)};
 }
 
 /**
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -3,6 +3,8 @@
 #include "http_reader.h"
 #include "socket_deadline.h"
 
+#include "ibiswell/core/response_check.h"
+
 #include <fmt/format.h>
 
 #include <array>
@@ -22,17 +24,12 @@
 constexpr int maximumDiscardingReads = 256;
 constexpr int statusUnavailable = 503;
 
-/**
- * Whether the end of the body cannot be determined: after a transfer coding other than "chunked",
- * the parser would read the body as the next request (request smuggling).
- */
+/** Such a body would be read as the next request (request smuggling). */
 bool hasUnknownCoding(const Parser &parser)
 {
-    auto coding = parser.get().find(http::field::transfer_encoding);
-    if (coding == parser.get().end())
-        return false;
-    return parser.get().count(http::field::transfer_encoding) > 1
-        || !beast::iequals(coding->value(), "chunked");
+    const auto &message = parser.get();
+    bool statesCoding = message.find(http::field::transfer_encoding) != message.end();
+    return statesCoding && hasUnknownCoding(toFields(message));
 }
 
 /** Whether the task was cancelled; an operation also ends when m_changed or the socket is. */
--- a/tests/response_cases.h
+++ b/tests/response_cases.h
@@ -110,6 +110,68 @@
              "done"}};
 }
 
+inline std::vector<ResponseCase> brokenFramings()
+{
+    std::vector<ResponseCase> cases;
+    for (const char *field : {"Content-Length: 4\r\nContent-Length: 5",
+                              "Content-Length: 4, 5",
+                              "Content-Length: -4",
+                              "Content-Length: +4",
+                              "Content-Length: 4x",
+                              "Content-Length: 0x4",
+                              "Content-Length:",
+                              "Content-Length: 99999999999999999999",
+                              "Content-Length: 4\r\nTransfer-Encoding: chunked",
+                              "Transfer-Encoding: chunked\r\nContent-Length: 4",
+                              "Transfer-Encoding: gzip",
+                              "Transfer-Encoding: gzip\r\nContent-Length: 4",
+                              "Transfer-Encoding: identity",
+                              "Transfer-Encoding: gzip, chunked",
+                              "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+                              "Transfer-Encoding: chunked, gzip",
+                              "Transfer-Encoding: chunked, chunked",
+                              "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                              "Transfer-Encoding: chunked;q=1",
+                              "Transfer-Encoding:"})
+        cases.push_back(
+            {fmt::format("framing by \"{}\"", field),
+             {okWith(fmt::format("{}\r\n", field)).append(doneInChunks), Ending::CloseSending}});
+    for (const char *body :
+         {"x\r\ndone\r\n0\r\n\r\n", "-4\r\ndone\r\n0\r\n\r\n", "4\r\ndoneX\r\n0\r\n\r\n",
+          "4\ndone\r\n0\r\n\r\n", "fffffffffffffffff\r\ndone\r\n0\r\n\r\n",
+          "4 4\r\ndone\r\n0\r\n\r\n", "4\r\ndone\r\n0\r\nX Y: z\r\n\r\n",
+          "4\r\ndone\r\n0\r\nX: \x01\r\n\r\n"})
+        cases.push_back({fmt::format("chunks \"{}\"", body), {okWith(chunkedField) + body}});
+    for (const char *line : {"HTTP/1.0 200 OK", "HTTP/1.1 204 No Content"})
+        cases.push_back({fmt::format("chunks of {}", line),
+                         {headWith(line, chunkedField).append(doneInChunks)}});
+    cases.push_back(
+        {"204 with a length", {headWith("HTTP/1.1 204 No Content", sizedField) + "done"}});
+    return cases;
+}
+
+inline std::vector<ResponseCase> soundFramings()
+{
+    std::vector<ResponseCase> cases;
+    for (const char *field : {"Content-Length: 4", "Content-Length: 4\r\nContent-Length: 4"})
+        cases.push_back({field, {okWith(fmt::format("{}\r\n", field)) + "done"}, 200, "done"});
+    for (const char *field : {"Transfer-Encoding: chunked", "Transfer-Encoding:  Chunked "})
+        cases.push_back(
+            {field, {okWith(fmt::format("{}\r\n", field)).append(doneInChunks)}, 200, "done"});
+    for (const char *body : {"1\r\nd\r\n3\r\none\r\n0\r\n\r\n", "4;a=b\r\ndone\r\n0\r\n\r\n",
+                             "4\r\ndone\r\n0\r\nX-Sum: 1\r\n\r\n"})
+        cases.push_back({body, {okWith(chunkedField) + body}, 200, "done"});
+    for (const char *field : {"Content-Length: 0\r\n", ""})
+        cases.push_back({fmt::format("204 with \"{}\"", field),
+                         {headWith("HTTP/1.1 204 No Content", field)},
+                         204});
+    cases.push_back({"no body", {okWith("Content-Length: 0\r\n")}, 200});
+    cases.push_back({"304 with the length of the body that it does not have",
+                     {headWith("HTTP/1.1 304 Not Modified", sizedField)},
+                     304});
+    return cases;
+}
+
 /** Final responses that arrive while the body of the request is still being sent. */
 inline std::vector<ResponseCase> brokenResponsesDuringUpload()
 {
--- a/tests/response_reader_test.cpp
+++ b/tests/response_reader_test.cpp
@@ -167,3 +167,13 @@
 {
     checkAllReturned(soundInterimResponses());
 }
+
+TEST_CASE("BROKEN: a response whose body has no certain end is refused by every reader")
+{
+    checkAllRefused(brokenFramings());
+}
+
+TEST_CASE("a response with a certain end is returned whole by every reader")
+{
+    checkAllReturned(soundFramings());
+}
