BROKEN: a field whose name begins with a blank is not part of the one before

Callers could get an answer whose last sound field, the signature say, had the text of a broken line at its end. Cause: a line that begins with a blank continues the field before it in old HTTP; the parser joins such lines, also one that was meant as a field. Names and values with blanks, control bytes, zero bytes or other separators, no name and no colon were refused already, anywhere in the head; they stay as checks. Change: the reader refuses a folded line in the head of a response, which RFC 9112 (5.2) allows a proxy. Requests are read as before.

--- a/include/ibiswell/core/response_check.h
+++ b/include/ibiswell/core/response_check.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /**
@@ -34,6 +35,12 @@
 /** Whether the final response follows the one with this status. */
 bool isInterim(int status);
 
+/**
+ * Whether a line of @p head continues the field before it, for which it begins with a blank. The
+ * same line may be meant as a field whose name begins with one, so it is not passed on as either.
+ */
+bool hasFoldedLine(std::string_view head);
+
 /** Checks a head, interim or final, before anything behind it is read. */
 ResponseDefect checkHead(const ResponseHead &head);
 
--- a/src/core/response_check.cpp
+++ b/src/core/response_check.cpp
@@ -79,6 +79,12 @@
     return isRepeated || !equalIgnoringCase(coding->value, "chunked");
 }
 
+bool hasFoldedLine(std::string_view head)
+{
+    return head.find("\n ") != std::string_view::npos
+        || head.find("\n\t") != std::string_view::npos;
+}
+
 ResponseDefect checkHead(const ResponseHead &head)
 {
     ResponseDefect defect = checkStatus(head.status);
--- a/src/transport/http_reader.cpp
+++ b/src/transport/http_reader.cpp
@@ -1,7 +1,10 @@
 #include "http_reader.h"
 
+#include "ibiswell/core/response_check.h"
+
 #include <algorithm>
 #include <stdexcept>
+#include <string_view>
 
 namespace ibiswell {
 
@@ -10,15 +13,24 @@
 constexpr std::size_t minimumReadBytes = 512;
 constexpr std::size_t maximumReadBytes = 64u << 10;
 
+std::string_view textOf(const beast::flat_buffer &buffer, std::size_t bytes)
+{
+    return {static_cast<const char *>(buffer.data().data()), bytes};
+}
+
 template<bool isRequest>
 HttpRead parse(beast::flat_buffer &buffer, http::basic_parser<isRequest> &parser)
 {
     HttpRead step;
+    bool isHead = !parser.is_header_done();
     try {
         step.bytes = parser.put(buffer.data(), step.error);
     } catch (const std::length_error &) {
         step.error = http::error::header_limit;
     }
+    // The parser joins folded lines, after which they cannot be told from others.
+    if (!isRequest && isHead && hasFoldedLine(textOf(buffer, step.bytes)))
+        step.error = http::error::bad_field;
     buffer.consume(step.bytes);
     return step;
 }
--- a/src/transport/http_reader.h
+++ b/src/transport/http_reader.h
@@ -21,7 +21,8 @@
  * The buffer's maximum size bounds a header, and each line that the parser needs whole: the
  * extensions of a chunk, the fields after the last chunk. A longer line is buffer_overflow; a
  * longer header, or a field that the parser cannot represent, is header_limit. Beast's own
- * operations throw for such a field, out of the event loop.
+ * operations throw for such a field, out of the event loop. A folded line in the head of a response
+ * is bad_field; the parser must not be eager, so that the head is read alone.
  */
 template<bool isRequest>
 Task<HttpRead> readSome(tcp::socket &socket, beast::flat_buffer &buffer,
--- a/tests/response_cases.h
+++ b/tests/response_cases.h
@@ -172,6 +172,68 @@
     return cases;
 }
 
+inline std::vector<ResponseCase> brokenFields()
+{
+    std::vector<ResponseCase> cases;
+    for (std::string_view field :
+         {"X Y: z", "X : z", " X: z", "\tX: z", " folded", "X\tY: z", "X\x01Y: z", "X\x7fY: z",
+          "X\x80Y: z", ": z", "no colon", "X(Y): z", "X: a\x01z", "X: a\x7fz", "X: a\nz", "X: a\rz",
+          "X: a\r\n folded", "X: a\r\n\tb\x01"}) {
+        std::string line = fmt::format("{}\r\n", field);
+        std::string what = fmt::format("field \"{}\"", field);
+        cases.push_back({what, {okWith(line + std::string(sizedField)) + "done"}});
+        cases.push_back(
+            {what + " before the others",
+             {fmt::format("HTTP/1.1 200 OK\r\n{}{}{}\r\ndone", line, ownFields, sizedField)}});
+    }
+    for (std::string_view field :
+         {std::string_view("X\0Y: z\r\n", 8), std::string_view("X: a\0z\r\n", 8)})
+        cases.push_back({"a zero byte", {okWith(std::string(field).append(sizedField)) + "done"}});
+    return cases;
+}
+
+inline std::vector<ResponseCase> soundFields()
+{
+    std::vector<ResponseCase> cases;
+    for (const char *field : {"X:", "X:z", "X: a b\tc", "X: \x80\xff", "!#$%&'*+-.^_`|~09aZ: z"})
+        cases.push_back({fmt::format("field \"{}\"", field),
+                         {okWith(fmt::format("{}\r\n{}", field, sizedField)) + "done"},
+                         200,
+                         "done"});
+    return cases;
+}
+
+inline std::vector<ResponseCase> brokenEnds()
+{
+    std::vector<ResponseCase> cases;
+    for (Ending ending : {Ending::CloseSending, Ending::Reset}) {
+        for (const std::string &bytes :
+             {std::string(), std::string("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\n"),
+              okWith(sizedField) + "do", okWith(chunkedField) + "4\r\ndo",
+              okWith(chunkedField) + "4\r\ndone\r\n0\r\n"})
+            cases.push_back({fmt::format("\"{}\" and end {}", bytes, static_cast<int>(ending)),
+                             {bytes, ending}});
+    }
+    cases.push_back({"no length and a reset", {okWith("") + "do", Ending::Reset}});
+    return cases;
+}
+
+inline std::vector<ResponseCase> soundEnds()
+{
+    std::vector<ResponseCase> cases;
+    for (Ending ending : {Ending::KeepOpen, Ending::Close, Ending::CloseSending})
+        cases.push_back({"length", {okWith(sizedField) + "done", ending}, 200, "done"});
+    for (const char *line : {"HTTP/1.1 200 OK", "HTTP/1.0 200 OK"}) {
+        for (Ending ending : {Ending::Close, Ending::CloseSending})
+            cases.push_back({fmt::format("no length of {}", line),
+                             {headWith(line) + "done", ending},
+                             200,
+                             "done",
+                             true});
+    }
+    return cases;
+}
+
 /** Final responses that arrive while the body of the request is still being sent. */
 inline std::vector<ResponseCase> brokenResponsesDuringUpload()
 {
--- a/tests/response_reader_test.cpp
+++ b/tests/response_reader_test.cpp
@@ -177,3 +177,37 @@
 {
     checkAllReturned(soundFramings());
 }
+
+TEST_CASE("BROKEN: a response with a broken field is refused by every reader")
+{
+    checkAllRefused(brokenFields());
+}
+
+TEST_CASE("a response with any sound field is returned by every reader")
+{
+    checkAllReturned(soundFields());
+}
+
+TEST_CASE("BROKEN: a response that ends before its end is refused by every reader")
+{
+    checkAllRefused(brokenEnds());
+}
+
+TEST_CASE("a response that ends where it should is returned, and only a target's by a close")
+{
+    checkAllReturned(soundEnds());
+}
+
+// A signature or a statement behind the body is none of the response's: it may be of any source.
+TEST_CASE("fields behind the last chunk are not fields of the response")
+{
+    ScriptedResponse response {"HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n"
+                               "Response-Signature: s\r\nNot-Executed: 1\r\n\r\n"};
+    CallResult result = exchange(targetOptions(), response);
+    const HttpResponse *whole = std::get_if<HttpResponse>(&result);
+    REQUIRE(whole);
+    CHECK(whole->body == "done");
+    CHECK_FALSE(whole->hasHeader("Response-Signature"));
+    CHECK_FALSE(whole->hasHeader("Not-Executed"));
+}
