BROKEN: a response that another node passes on is checked like the target's

A node took from its peers any number as a status, names and values of fields with line ends in them, and fields that frame a message, and would have sent them to its callers; also the response of a request with an idempotency key that its owner remembers. Cause: decoding checks the form of a message between nodes and the range of its numbers, not the response in it. Evidence: the new test fails on the code before in 28 of its checks: 13 numbers, 2 bodies where none is allowed, 13 fields. Change: checkPassedOn() beside the other rules; the codec rejects a message with a response that is not sound, for all three messages that carry one.

--- a/fuzz/decoder_fuzz.cpp
+++ b/fuzz/decoder_fuzz.cpp
@@ -38,6 +38,13 @@
             RC_ASSERT(read->context.admissionDraw >= 0);
             RC_ASSERT(read->context.admissionDraw <= 1);
         }
+        ResponseMessage response;
+        response.result = HttpResponse {*rc::gen::inRange(-100, 1100), {{"a", "b"}}, "body"};
+        message = decodePeerMessage(corrupt(encode(PeerMessage(response))), error);
+        if (const auto *read = message ? std::get_if<ResponseMessage>(&*message) : nullptr) {
+            const HttpResponse *whole = std::get_if<HttpResponse>(&read->result);
+            RC_ASSERT(!whole || (whole->status >= 200 && whole->status <= 599));
+        }
         std::string noise = *rc::gen::arbitrary<std::string>();
         decodePeerMessage(noise, error);
         decodeDatagram(noise, error);
--- a/include/ibiswell/core/response_check.h
+++ b/include/ibiswell/core/response_check.h
@@ -41,9 +41,15 @@
  */
 bool hasFoldedLine(std::string_view head);
 
-/** Checks a head, interim or final, before anything behind it is read. */
+/**
+ * Checks a head, interim or final, before anything behind it is read. The parser that has read it
+ * has checked the characters of its fields.
+ */
 ResponseDefect checkHead(const ResponseHead &head);
 
+/** Checks a complete final response that another node passes on. */
+ResponseDefect checkPassedOn(const HttpResponse &response);
+
 /** What delimits the body of a response. */
 enum class BodyEnd {
     Stated, ///< A length or the last chunk; also where there is no body.
--- a/src/core/response_check.cpp
+++ b/src/core/response_check.cpp
@@ -12,6 +12,7 @@
 constexpr int switchingProtocolsStatus = 101;
 constexpr int firstFinalStatus = 200;
 constexpr int noContentStatus = 204;
+constexpr int notModifiedStatus = 304;
 constexpr int lastStatus = 599;
 
 ResponseDefect checkStatus(int status)
@@ -23,6 +24,26 @@
     return std::nullopt;
 }
 
+bool isFieldName(std::string_view name)
+{
+    constexpr std::string_view punctuation = "!#$%&'*+-.^_`|~";
+    auto isAllowed = [&](char c) {
+        bool isLetterOrDigit =
+            (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
+        return isLetterOrDigit || punctuation.find(c) != std::string_view::npos;
+    };
+    return !name.empty() && std::all_of(name.begin(), name.end(), isAllowed);
+}
+
+bool isFieldValue(std::string_view value)
+{
+    constexpr unsigned char firstPrintable = ' ';
+    constexpr unsigned char deleteCharacter = 0x7f;
+    return std::all_of(value.begin(), value.end(), [](unsigned char c) {
+        return c == '\t' || (c >= firstPrintable && c != deleteCharacter);
+    });
+}
+
 constexpr std::string_view codingField = "transfer-encoding";
 
 bool isCoding(const HeaderField &field)
@@ -42,10 +63,10 @@
     });
 }
 
-/** Whether the message ends with its head; the head of a 304 states the body of another message. */
-bool hasNoBody(int status)
+/** Whether the message ends with its head. */
+bool isAlwaysEmpty(int status)
 {
-    return isInterim(status) || status == noContentStatus;
+    return isInterim(status) || status == noContentStatus || status == notModifiedStatus;
 }
 
 /**
@@ -54,7 +75,9 @@
  */
 ResponseDefect checkFraming(const ResponseHead &head)
 {
-    if (hasNoBody(head.status) && (statesCoding(head) || statesLength(head)))
+    // A 304 states the length of a body that the caller has.
+    bool mayStateBody = !isAlwaysEmpty(head.status) || head.status == notModifiedStatus;
+    if (!mayStateBody && (statesCoding(head) || statesLength(head)))
         return fmt::format("a response with status {} has no body", head.status);
     if (hasUnknownCoding(head.fields))
         return "the transfer coding of the response is not supported";
@@ -93,6 +116,23 @@
     return defect;
 }
 
+ResponseDefect checkPassedOn(const HttpResponse &response)
+{
+    if (ResponseDefect defect = checkStatus(response.status))
+        return defect;
+    if (isInterim(response.status))
+        return "an interim response is not passed on";
+    if (isAlwaysEmpty(response.status) && !response.body.empty())
+        return fmt::format("a response with status {} has no body", response.status);
+    for (const HeaderField &field : response.headers) {
+        if (!isFieldName(field.name) || !isFieldValue(field.value))
+            return "a field of the response has characters that are not allowed";
+        if (isHopByHop(field.name))
+            return fmt::format("the field {} is not passed on", field.name);
+    }
+    return std::nullopt;
+}
+
 ResponseDefect checkEnd(BodyEnd end, SendOutcome sending)
 {
     if (end == BodyEnd::ConnectionClose && sending == SendOutcome::Failed)
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -1,5 +1,7 @@
 #include "ibiswell/wire/codec.h"
 
+#include "ibiswell/core/response_check.h"
+
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/variant.hpp>
@@ -342,8 +344,8 @@
 }
 
 /**
- * Checks that the enumerations and numbers in a message from another process are in range, which
- * decoding alone does not ensure.
+ * Checks that the enumerations and numbers in a message from another process are in range, and that
+ * responses in it are sound, which decoding alone does not ensure.
  */
 struct RangeCheck
 {
@@ -360,21 +362,15 @@
         return static_cast<std::size_t>(m.kind) < errorTable().size()
             && m.execution <= Execution::Run;
     }
-    bool operator()(const CallResult &result) const
-    {
-        const Refusal *refusal = std::get_if<Refusal>(&result);
-        return !refusal || (*this)(*refusal);
-    }
+    bool operator()(const HttpResponse &m) const { return !checkPassedOn(m); }
+    bool operator()(const CallResult &result) const { return std::visit(*this, result); }
     bool operator()(const ResponseMessage &m) const
     {
         return (*this)(m.result) && isFraction(m.load.pathFraction)
             && isFraction(m.load.completableFraction) && isFraction(m.load.retryHeadroom);
     }
-    bool operator()(const KeyClaimResponse &m) const
-    {
-        const Refusal *refusal = std::get_if<Refusal>(&m.decision);
-        return !refusal || (*this)(*refusal);
-    }
+    bool operator()(const KeyDone &m) const { return (*this)(m.response); }
+    bool operator()(const KeyClaimResponse &m) const { return std::visit(*this, m.decision); }
     bool operator()(const KeySettlement &m) const { return (*this)(m.result); }
     bool operator()(const RosterRequest &m) const { return haveValidStates({m.joiningNode}); }
     bool operator()(const RosterResponse &m) const { return haveValidStates(m.members); }
@@ -418,7 +414,8 @@
 {
     auto message = decodeMessage<PeerMessage>(bytes, error);
     if (message && !std::visit(RangeCheck {}, *message)) {
-        error = {ErrorKind::MalformedMessage, "a value is out of range"};
+        error = {ErrorKind::MalformedMessage,
+                 "a value is out of range, or a response is not sound"};
         return std::nullopt;
     }
     return message;
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -70,6 +70,54 @@
     CHECK_FALSE(decodeDatagram(encode(datagram), error));
 }
 
+namespace {
+
+/** Whether each message in which a response can arrive from another node is decoded with it. */
+bool isAcceptedFromPeers(const HttpResponse &response)
+{
+    KeyClaimResponse done {KeyDone {response}};
+    ResponseMessage answer;
+    answer.result = response;
+    int accepted = 0;
+    for (const PeerMessage &message : {PeerMessage(answer), PeerMessage(done),
+                                       PeerMessage(KeySettlement {"t", "k", response})}) {
+        Error error;
+        accepted += decodePeerMessage(encode(message), error) ? 1 : 0;
+    }
+    CHECK((accepted == 0 || accepted == 3));
+    return accepted == 3;
+}
+
+} // namespace
+
+TEST_CASE("BROKEN: a response that another node passes on is sound, or its message is rejected")
+{
+    for (int status : {-1, 0, 7, 99, 100, 101, 103, 199, 600, 700, 999, 1000, 70'000})
+        CHECK_FALSE(isAcceptedFromPeers({status, {}, {}}));
+    for (int status : {200, 204, 299, 302, 304, 404, 500, 599})
+        CHECK(isAcceptedFromPeers({status, {}, {}}));
+    for (int status : {204, 304})
+        CHECK_FALSE(isAcceptedFromPeers({status, {}, "body"}));
+    const std::vector<HeaderField> broken {{"X Y", "z"},
+                                           {"", "z"},
+                                           {"X:", "z"},
+                                           {"X\r\nY", "z"},
+                                           {" X", "z"},
+                                           {"X\x80", "z"},
+                                           {"X", "a\r\nY: z"},
+                                           {"X", std::string(1, '\0')},
+                                           {"X", "a\nz"},
+                                           {"X", "\x7f"},
+                                           {"Connection", "close"},
+                                           {"Content-Length", "4"},
+                                           {"transfer-encoding", "gzip"}};
+    for (const HeaderField &field : broken)
+        CHECK_FALSE_MESSAGE(isAcceptedFromPeers({200, {{"A", "b"}, field}, "body"}), field.name);
+    for (const HeaderField &field :
+         std::vector<HeaderField> {{"!#$%&'*+-.^_`|~09aZ", ""}, {"X", "a b\tc"}, {"X", "\x80\xff"}})
+        CHECK_MESSAGE(isAcceptedFromPeers({200, {{"A", "b"}, field}, "body"}), field.name);
+}
+
 TEST_CASE("a probe with six membership updates fits into a datagram")
 {
     Datagram datagram;
--- a/tests/target_service_test.cpp
+++ b/tests/target_service_test.cpp
@@ -125,7 +125,7 @@
 /** The node of a target with one slot, and the services that TargetService looks up. */
 struct OneSlotNode
 {
-    OneSlotNode()
+    explicit OneSlotNode(Dialect dialect = platform::makeDialect())
         : context(kernel.add<asio::io_context>("io", 1))
         , backend(context)
     {
@@ -133,7 +133,7 @@
         NodeState &state = kernel.add<NodeState>("node");
         state.settings.service = "ledger";
         state.settings.backend = backend.endpoint();
-        kernel.add<Dialect>("dialect", platform::makeDialect());
+        kernel.add<Dialect>("dialect", std::move(dialect));
         PolicyStore &policy = kernel.add<PolicyStore>("policy");
         PolicyDocument document;
         document.version = 1;
@@ -299,6 +299,40 @@
     CHECK(node.backend.connectionCount() == 2);
 }
 
+TEST_CASE("BROKEN: a health response says that the backend server drains only if it is sound")
+{
+    struct Case
+    {
+        std::string bytes;
+        bool isReady;
+    };
+    const std::string draining = R"({"state":"draining"})";
+    const std::string sized =
+        fmt::format("Content-Length: {}\r\n\r\n{}", draining.size(), draining);
+    for (const Case &health :
+         {Case {"HTTP/1.1 200 OK\r\n" + sized, false},
+          Case {"HTTP/1.1 503 Draining\r\n" + sized, false},
+          Case {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", true},
+          Case {"HTTP/1.1 000 Zero\r\n" + sized, true},
+          Case {"HTTP/1.1 700 High\r\n" + sized, true},
+          Case {"HTTP/1.1 103 Early Hints\r\n" + sized, true},
+          Case {"HTTP/1.1 200 OK\r\nX Y: z\r\n" + sized, true},
+          Case {"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n" + draining, true},
+          Case {"HTTP/1.1 200 OK\r\n\r\n" + draining, true},
+          Case {"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n" + draining, true}}) {
+        OneSlotNode node {Dialect {}};
+        std::optional<bool> isReady;
+        auto probe = [&]() -> Task<void> {
+            isReady = co_await node.kernel.get<TargetService>("target").isBackendReady();
+        };
+        asio::co_spawn(node.context, probe(), asio::detached);
+        REQUIRE(node.runUntil([&] { return node.backend.connectionCount() == 1; }));
+        node.backend.send(health.bytes, true);
+        REQUIRE(node.runUntil([&] { return isReady.has_value(); }));
+        CHECK_MESSAGE(*isReady == health.isReady, health.bytes);
+    }
+}
+
 TEST_CASE("a success without the backend server's signature is not returned as a success")
 {
     OneSlotNode node;
