BROKEN: the operator's command says which page of a node it cannot read

An operator saw "terminate called after throwing ..." and no exit code of the command when a node, or what stands at its address, answered with a page that is no JSON or lacks a member; after "config apply" the wait ended so too, and did not say that the version was stored. Cause: the pages were parsed where they were used, and nothing caught what the parser throws. Evidence: the new process test fails on the code before: 10 of 16 commands, those of the five pages that are whole HTTP and no page of a node. A broken status, a cut and a missing length were reported already, with the address. Change: OperatorSession::readPage() fetches, parses and reads a page, and turns what goes wrong into an error with the node and the page. A node whose page cannot be read counts as one without the version.

--- a/include/ibiswell/transport/operator_session.h
+++ b/include/ibiswell/transport/operator_session.h
@@ -5,6 +5,9 @@
 #include "ibiswell/policy/policy_change.h"
 #include "ibiswell/policy/stored_policy.h"
 
+#include <boost/json/value.hpp>
+
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -35,6 +38,12 @@
 
     /** Fetches a page of a node, for example "/-/status". */
     std::optional<std::string> fetchPage(const Endpoint &node, const std::string &path);
+    using PageReader = std::function<void(const boost::json::value &page)>;
+    /**
+     * Fetches a JSON page of a node and passes it to @p read, which may throw when the page lacks
+     * what it needs; false on any failure.
+     */
+    bool readPage(const Endpoint &node, const std::string &path, const PageReader &read);
     const Endpoint &node() const;
 
     struct RolloutStatus
--- a/src/transport/operator_session.cpp
+++ b/src/transport/operator_session.cpp
@@ -18,6 +18,7 @@
 
 using namespace std::chrono_literals;
 
+constexpr std::string_view statusPath = "/-/status";
 constexpr Duration pageTimeout = 2s;
 constexpr int maximumChangeAttempts = 8;
 constexpr Duration readRetryDelay = 300ms;
@@ -165,20 +166,37 @@
     return std::move(response.body);
 }
 
+bool OperatorSession::readPage(const Endpoint &node, const std::string &path,
+                               const PageReader &read)
+{
+    std::optional<std::string> page = fetchPage(node, path);
+    if (!page)
+        return false;
+    try {
+        read(boost::json::parse(*page));
+    } catch (const std::exception &failure) {
+        m_impl->lastError = Error {ErrorKind::MalformedMessage,
+                                   fmt::format("{}: the page {} cannot be read: {}", toString(node),
+                                               path, failure.what())};
+        return false;
+    }
+    return true;
+}
+
 std::optional<std::vector<Endpoint>> OperatorSession::fetchMembers()
 {
-    std::optional<std::string> status = fetchPage(m_impl->node, "/-/status");
-    if (!status)
-        return std::nullopt;
     std::vector<Endpoint> endpoints;
-    boost::json::value root = boost::json::parse(*status);
-    for (const boost::json::value &member : root.at("members").as_array()) {
-        std::string state {member.at("state").as_string()};
-        if (state == "dead")
-            continue;
-        endpoints.push_back({std::string(member.at("address").as_string()),
-                             member.at("http_port").to_number<std::uint16_t>()});
-    }
+    auto readMembers = [&](const boost::json::value &page) {
+        for (const boost::json::value &member : page.at("members").as_array()) {
+            std::string state {member.at("state").as_string()};
+            if (state == "dead")
+                continue;
+            endpoints.push_back({std::string(member.at("address").as_string()),
+                                 member.at("http_port").to_number<std::uint16_t>()});
+        }
+    };
+    if (!readPage(m_impl->node, std::string(statusPath), readMembers))
+        return std::nullopt;
     return endpoints;
 }
 
@@ -193,11 +211,12 @@
     RolloutStatus rollout {nodes->size(), pending.size(), {}};
     for (;;) {
         std::erase_if(pending, [&](const Endpoint &endpoint) {
-            std::optional<std::string> status = fetchPage(endpoint, "/-/status");
-            if (!status)
-                return false;
-            boost::json::value root = boost::json::parse(*status);
-            return root.at("policy_version").to_number<std::uint64_t>() >= version;
+            std::uint64_t inForce = 0;
+            bool isKnown =
+                readPage(endpoint, std::string(statusPath), [&](const boost::json::value &page) {
+                    inForce = page.at("policy_version").to_number<std::uint64_t>();
+                });
+            return isKnown && inForce >= version;
         });
         rollout.pending = pending.size();
         rollout.elapsed = steadyNow() - start;
--- a/tests/process/broken_response_test.cpp
+++ b/tests/process/broken_response_test.cpp
@@ -92,3 +92,29 @@
                 CHECK_MESSAGE(reply.status == 503, refused.what << ": " << reply.status);
     }
 }
+
+TEST_CASE("BROKEN: the operator's command says which page of a node it cannot read")
+{
+    Deployment deployment(21100);
+    BackgroundContext servers;
+    ScriptedServer node(servers.get(), static_cast<std::uint16_t>(deployment.httpPort(0)), {});
+    auto page = [](const std::string &text) {
+        return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", text.size(), text);
+    };
+    for (const std::string &bytes :
+         {std::string("HTTP/1.1 000 Zero\r\nContent-Length: 2\r\n\r\n{}"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}"),
+          std::string("HTTP/1.1 200 OK\r\n\r\n{}"), page("{}"), page("not JSON"), page(""),
+          page(R"({"members": 7})"), page(R"({"members": [{"state": "alive"}]})")}) {
+        asio::post(servers.get(), [&, bytes] { node.setResponse({bytes, Ending::CloseSending}); });
+        for (const std::vector<std::string> &command :
+             std::vector<std::vector<std::string>> {{"status"}, {"explain", "request-1"}}) {
+            CommandResult result = deployment.runOperatorCommand(command);
+            CHECK_MESSAGE(result.exitCode > 0, command.front() << " of " << bytes);
+            std::string name = fmt::format("127.0.0.1:{}", deployment.httpPort(0));
+            bool namesNode = result.output.find(name) != std::string::npos;
+            CHECK_MESSAGE(namesNode, result.output);
+        }
+    }
+    servers.stop();
+}
--- a/tests/scripted_server.h
+++ b/tests/scripted_server.h
@@ -44,9 +44,6 @@
     }
 
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
-    int connections() const { return m_connections; }
-    /** Requests whose head was read. */
-    int requests() const { return m_requests; }
     void setResponse(ScriptedResponse response) { m_response = std::move(response); }
 
 private:
@@ -56,7 +53,6 @@
             auto [error, socket] = co_await m_acceptor.async_accept(asResult);
             if (error)
                 co_return;
-            ++m_connections;
             asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), asio::detached);
         }
     }
@@ -69,7 +65,6 @@
                 socket, asio::dynamic_buffer(received), std::string_view("\r\n\r\n"), asResult);
             if (error)
                 co_return;
-            ++m_requests;
             std::string head = received.substr(0, headBytes);
             received.erase(0, headBytes);
             ScriptedResponse response = m_response;
@@ -153,8 +148,6 @@
 
     tcp::acceptor m_acceptor;
     ScriptedResponse m_response;
-    int m_connections = 0;
-    int m_requests = 0;
 };
 
 } // namespace ibiswell::test
--- a/tools/operator_commands.cpp
+++ b/tools/operator_commands.cpp
@@ -184,24 +184,20 @@
                            SetEntry {"zones_out/" + arguments.words[2], json::serialize(object)});
 }
 
-int printStatus(OperatorSession &session, const Arguments &arguments)
+void printNode(const json::value &page)
 {
-    std::optional<std::string> page = session.fetchPage(session.node(), "/-/status");
-    if (!page)
-        return reportError(*session.lastError());
-    if (arguments.asJson) {
-        fmt::print("{}", *page);
-        return Ok;
-    }
-    json::value root = json::parse(*page);
     fmt::print("node {}  policy version {}  limit {}  in flight {}  queued {}  lowest "
                "admitted fraction {}\n",
-               json::serialize(root.at("node")), json::serialize(root.at("policy_version")),
-               json::serialize(root.at("limit")), json::serialize(root.at("in_flight")),
-               json::serialize(root.at("queued")), root.at("worst_fraction").to_number<double>());
+               json::serialize(page.at("node")), json::serialize(page.at("policy_version")),
+               json::serialize(page.at("limit")), json::serialize(page.at("in_flight")),
+               json::serialize(page.at("queued")), page.at("worst_fraction").to_number<double>());
+}
+
+void printMembers(const json::value &page)
+{
     fmt::print("{:<20} {:<14} {:<14} {:<22} {:<8} {}\n", "NODE", "SERVICE", "ZONE", "HTTP", "STATE",
                "LEASES");
-    for (const json::value &member : root.at("members").as_array()) {
+    for (const json::value &member : page.at("members").as_array()) {
         auto text = [&](std::string_view field) {
             return std::string(
                 member.at(json::string_view(field.data(), field.size())).as_string());
@@ -211,9 +207,22 @@
                    fmt::format("{}:{}", text("address"), json::serialize(member.at("http_port"))),
                    text("state"), json::serialize(member.at("leases")));
     }
-    for (const auto &zone : root.at("zones_out").as_object())
+    for (const auto &zone : page.at("zones_out").as_object())
         fmt::print("zone out: {}  {}\n", std::string(zone.key()), json::serialize(zone.value()));
-    return Ok;
+}
+
+int printStatus(OperatorSession &session, const Arguments &arguments)
+{
+    auto print = [&](const json::value &page) {
+        if (arguments.asJson) {
+            fmt::print("{}\n", json::serialize(page));
+            return;
+        }
+        printNode(page);
+        printMembers(page);
+    };
+    bool isRead = session.readPage(session.node(), "/-/status", print);
+    return isRead ? Ok : reportError(*session.lastError());
 }
 
 int explainRequest(OperatorSession &session, const Arguments &arguments)
@@ -222,17 +231,16 @@
     if (!nodes)
         return reportError(*session.lastError());
     bool found = false;
-    for (const Endpoint &node : *nodes) {
-        auto page = session.fetchPage(node, "/-/explain?request=" + arguments.words[1]);
-        if (!page)
-            continue;
-        json::value root = json::parse(*page);
-        for (const json::value &line : root.at("lines").as_array()) {
+    auto printLines = [&](const json::value &page) {
+        for (const json::value &line : page.at("lines").as_array()) {
             found = true;
-            fmt::print("{}: {}\n", std::string(root.at("node").as_string()),
+            fmt::print("{}: {}\n", std::string(page.at("node").as_string()),
                        std::string(line.as_string()));
         }
-    }
+    };
+    // What other nodes recorded is of use also where one does not respond.
+    for (const Endpoint &node : *nodes)
+        session.readPage(node, "/-/explain?request=" + arguments.words[1], printLines);
     if (!found)
         fmt::print(stderr, "ibiswell: no node has a record of request \"{}\"\n",
                    arguments.words[1]);
