Read a response by a head, a body and what follows, one function each

Change: readFinalHead() reads heads until one is not interim, readResponse() decides what to do with it, reuseAfter() tells what the connection may do next; what they share is one object. Behaviour is as before, but that the two bounds (interim responses, responses to other requests) count apart.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -229,74 +229,86 @@
     return m_options.statesNotRun && m_options.statesNotRun(head);
 }
 
+void HttpClient::startResponse(Incoming &incoming) const
+{
+    incoming.reservation.emplace(m_options.bodies);
+    ResponseParser &parser = incoming.parser.emplace();
+    parser.header_limit(maximumResponseHeaderBytes);
+    parser.body_limit(m_options.maximumBodyBytes);
+    parser.skip(incoming.isHead);
+}
+
 /** A faulty server may send bytes without end to many requests at once, hence the budget. */
-Task<boost::system::error_code> HttpClient::readPart(Part part, tcp::socket &socket,
-                                                     beast::flat_buffer &buffer,
-                                                     ResponseParser &parser,
-                                                     BufferBudget::Reservation &reservation)
+Task<boost::system::error_code> HttpClient::readPart(Part part, Incoming &incoming)
 {
+    ResponseParser &parser = *incoming.parser;
     auto isComplete = [&] {
         return part == Part::Head ? parser.is_header_done() : parser.is_done();
     };
     while (!isComplete()) {
-        HttpRead step = co_await readSome(socket, buffer, parser);
-        if (step.error)
+        HttpRead step = co_await readSome(incoming.socket, incoming.buffer, parser);
+        if (step.error) {
+            co_await throwIfCancelled();
             co_return step.error;
-        if (!reservation.grow(step.bytes))
+        }
+        if (!incoming.reservation->grow(step.bytes))
             co_return http::error::body_limit;
     }
     co_return boost::system::error_code {};
 }
 
-Task<HttpClient::Received> HttpClient::readResponse(tcp::socket &socket, const HttpRequest &request)
+Task<CallResult> HttpClient::readFinalHead(Incoming &incoming)
 {
-    beast::flat_buffer buffer(maximumResponseHeaderBytes);
-    int mismatched = 0;
-    int interim = 0;
-    while (mismatched <= maximumMismatchedResponses && interim <= maximumInterimResponses) {
-        BufferBudget::Reservation reservation(m_options.bodies);
-        ResponseParser parser;
-        parser.header_limit(maximumResponseHeaderBytes);
-        parser.body_limit(m_options.maximumBodyBytes);
-        parser.skip(request.method == "HEAD");
-        auto error = co_await readPart(Part::Head, socket, buffer, parser, reservation);
+    for (int interim = 0; interim <= maximumInterimResponses; ++interim) {
+        startResponse(incoming);
+        boost::system::error_code error = co_await readPart(Part::Head, incoming);
         if (error) {
-            co_await throwIfCancelled();
-            ErrorKind kind =
-                parser.is_header_done() ? ErrorKind::ResponseTruncated : ErrorKind::ConnectionLost;
-            co_return Received {unknownOutcome(kind, error.message())};
+            ErrorKind kind = incoming.parser->is_header_done() ? ErrorKind::ResponseTruncated
+                                                               : ErrorKind::ConnectionLost;
+            co_return unknownOutcome(kind, error.message());
         }
-        ResponseHead head = headOf(parser);
+        ResponseHead head = headOf(*incoming.parser);
         if (ResponseDefect defect = checkHead(head))
-            co_return Received {unknownOutcome(ErrorKind::ResponseTruncated, std::move(*defect))};
-        if (isInterim(head.status)) {
-            ++interim;
-            continue;
-        }
-        HttpResponse response {head.status, endToEndFields(std::move(head.fields)), {}};
-        if (std::optional<Refusal> refusal = refuseHead(parser, response))
+            co_return unknownOutcome(ErrorKind::ResponseTruncated, std::move(*defect));
+        if (!isInterim(head.status))
+            co_return HttpResponse {head.status, endToEndFields(std::move(head.fields)), {}};
+    }
+    co_return unknownOutcome(ErrorKind::ResponseTruncated, "received only interim responses");
+}
+
+Task<HttpClient::Received> HttpClient::readResponse(tcp::socket &socket, const HttpRequest &request)
+{
+    Incoming incoming {socket, beast::flat_buffer(maximumResponseHeaderBytes),
+                       request.method == "HEAD"};
+    for (int mismatched = 0; mismatched <= maximumMismatchedResponses; ++mismatched) {
+        CallResult head = co_await readFinalHead(incoming);
+        if (std::holds_alternative<Refusal>(head))
+            co_return Received {std::move(head)};
+        HttpResponse &response = std::get<HttpResponse>(head);
+        if (std::optional<Refusal> refusal = refuseHead(*incoming.parser, response))
             co_return Received {std::move(*refusal)};
         bool isMatching = isResponseTo(request, response);
-        error = co_await readPart(Part::Whole, socket, buffer, parser, reservation);
-        if (error)
-            co_await throwIfCancelled();
+        boost::system::error_code error = co_await readPart(Part::Whole, incoming);
         if (error && isMatching && statesNotRun(response))
             co_return Received {std::move(response)};
         if (error)
             co_return Received {unknownOutcome(ErrorKind::ResponseTruncated, error.message())};
-        if (!isMatching) {
-            ++mismatched;
+        if (!isMatching)
             continue;
-        }
-        BodyEnd end = parser.need_eof() ? BodyEnd::ConnectionClose : BodyEnd::Stated;
-        Reuse reuse {parser.keep_alive() && buffer.size() == 0 && mismatched == 0,
-                     idleLimitFrom(parser.get()[http::field::keep_alive])};
-        response.body = std::move(parser.get().body());
+        BodyEnd end = incoming.parser->need_eof() ? BodyEnd::ConnectionClose : BodyEnd::Stated;
+        response.body = std::move(incoming.parser->get().body());
+        Reuse reuse = mismatched == 0 ? reuseAfter(incoming) : Reuse {};
         co_return Received {std::move(response), end, reuse};
     }
     co_return Received {
-        unknownOutcome(ErrorKind::ResponseTruncated,
-                       "received only interim responses, or responses to other requests")};
+        unknownOutcome(ErrorKind::ResponseTruncated, "received only responses to other requests")};
+}
+
+HttpClient::Reuse HttpClient::reuseAfter(const Incoming &incoming)
+{
+    const ResponseParser &parser = *incoming.parser;
+    bool isAtEnd = incoming.buffer.size() == 0; // bytes behind the response belong to no request
+    return {parser.keep_alive() && isAtEnd, idleLimitFrom(parser.get()[http::field::keep_alive])};
 }
 
 std::optional<Refusal> HttpClient::refuseHead(const ResponseParser &parser,
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -103,14 +103,25 @@
                                         const HttpRequest &request);
     /** Completes what was received when the sending has ended too, with @p sendError or without. */
     Received conclude(Received received, boost::system::error_code sendError) const;
+    /** A response that is being read. */
+    struct Incoming
+    {
+        tcp::socket &socket;
+        beast::flat_buffer buffer; ///< Holds what was received and not parsed.
+        bool isHead = false; ///< The request's method is HEAD, so that no body follows.
+        std::optional<ResponseParser> parser {};
+        std::optional<BufferBudget::Reservation> reservation {};
+    };
     enum class Part { Head, Whole };
+    void startResponse(Incoming &incoming) const;
     /** Reads a response as far as @p part; the error is set when it is malformed or ends early. */
-    Task<boost::system::error_code> readPart(Part part, tcp::socket &socket,
-                                             beast::flat_buffer &buffer, ResponseParser &parser,
-                                             BufferBudget::Reservation &reservation);
+    Task<boost::system::error_code> readPart(Part part, Incoming &incoming);
+    /** Reads the head of a final response, behind any interim responses; its body is left empty. */
+    Task<CallResult> readFinalHead(Incoming &incoming);
     Task<Received> readResponse(tcp::socket &socket, const HttpRequest &request);
     /** Refuses what this client does not read from its server, though other clients may. */
     std::optional<Refusal> refuseHead(const ResponseParser &parser, const HttpResponse &head) const;
+    static Reuse reuseAfter(const Incoming &incoming);
     bool statesNotRun(const HttpResponse &head) const;
     /** False for a response without the echoed field: it may belong to any request. */
     bool namesRequest(const HttpResponse &response) const;
