CONFIG: only a response of the store proves that a node is current

Cause: StoreConfirmation counted a node as current at any moment while its two watches waited. The response of a watch that is lost leaves it waiting for 32 s, so a watch that tells nothing more made its node, and by the statements in datagrams all nodes, current; nobody asked the store.

Change: knowledge is as old as the request of the response that proved it. One node of the fleet at a time lists the zones out of service once its knowledge is a second old, and the policy only if the store's revision has moved; the order follows from a hash and the ages that all state, so the next rank follows without a message when the first gets no response (store_check.h). A watch that other nodes contradict, or that was open while responses were lost, is given up (watch_trust.h). Logs and metrics tell of both (store-watch-given-up, ibiswell_store_checks, ibiswell_store_watches_given_up).

"a node is current while it watches" held the fault as the expected result; it is replaced by one that holds a node to the moments of its requests.

--- a/include/ibiswell/decisions/store_cursor.h
+++ b/include/ibiswell/decisions/store_cursor.h
@@ -36,6 +36,8 @@
 
     bool hasRead() const { return m_hasRead; }
     bool hasPosition() const { return m_position.has_value(); }
+    /** Up to here all changes were read; nothing: all objects must be listed. */
+    const std::optional<StorePosition> &position() const { return m_position; }
 
     /** @param era the latest that is known. */
     NextStoreCall next(TimePoint now, std::uint64_t era) const
@@ -54,6 +56,16 @@
         m_hasRead = true;
     }
 
+    /**
+     * Beside a watch that waits, another call has told all changes up to @p position. The watch
+     * goes on from the earlier one.
+     */
+    void onChecked(StorePosition position)
+    {
+        if (m_position && position > *m_position)
+            m_position = position;
+    }
+
     /** A call has failed, or the store no longer has the changes. */
     void onInterrupted() { m_position.reset(); }
 
--- a/src/transport/gossip.cpp
+++ b/src/transport/gossip.cpp
@@ -14,6 +14,7 @@
 
 constexpr Duration pullTimeout = 2s;
 constexpr std::size_t policyUpdateFanout = 4;
+constexpr std::size_t knowledgeFanout = 8;
 /** Bounds the time for which connections wait while datagrams are handled. */
 constexpr int maximumReceivedAtOnce = 128;
 
@@ -125,8 +126,13 @@
     if (m_era)
         m_era->onStated(statement.era);
     m_policy.confirmZones(statement.zonesPosition, statement.zonesDigest);
-    bool isBehind = datagram.policyVersion > m_policy.version()
-        || m_policy.isBehind(statement.zonesPosition, statement.zonesDigest);
+    bool isPolicyBehind = datagram.policyVersion > m_policy.version();
+    bool areZonesBehind = m_policy.isBehind(statement.zonesPosition, statement.zonesDigest);
+    if (isPolicyBehind)
+        onBehind(StoreTopic::Policy);
+    if (areZonesBehind)
+        onBehind(StoreTopic::ZonesOut);
+    bool isBehind = isPolicyBehind || areZonesBehind;
     // What was current in an earlier era tells nothing of the store that came back.
     bool isOfThisEra = !m_era || statement.zonesPosition.era >= m_era->latest();
     if (m_confirmation && isOfThisEra && !isBehind)
@@ -134,6 +140,12 @@
     return isBehind;
 }
 
+void Gossip::onBehind(StoreTopic topic)
+{
+    if (m_changeListener)
+        m_changeListener(topic);
+}
+
 /**
  * Receives all datagrams that have arrived before it waits again. One for each pass of the event
  * loop would not do: on a busy node, probes and grants would wait behind each other.
@@ -215,6 +227,12 @@
     m_membership.setStoreStatement(statement);
 }
 
+void Gossip::spreadStoreKnowledge()
+{
+    stateStoreKnowledge();
+    apply(m_membership.sendToRandomMembers(MemberUpdate {}, knowledgeFanout, m_node.random));
+}
+
 void Gossip::sendTo(const Endpoint &member, GossipBody body)
 {
     stateStoreKnowledge();
--- a/src/transport/gossip.h
+++ b/src/transport/gossip.h
@@ -24,6 +24,8 @@
 public:
     /** Called with each received datagram, to handle those that carry tokens. */
     using TokenHandler = std::function<void(const Datagram &datagram)>;
+    /** Called when another node states that it knows a change of what the store holds. */
+    using ChangeListener = std::function<void(StoreTopic topic)>;
 
     /**
      * Looks up "node", "membership", "router", "contact", "policy", "peer-links", "log" and
@@ -33,6 +35,7 @@
 
     bool listen(const Endpoint &endpoint);
     void setTokenHandler(TokenHandler handler) { m_tokenHandler = std::move(handler); }
+    void setChangeListener(ChangeListener listener) { m_changeListener = std::move(listener); }
     void send(const SendDatagram &effect);
     void apply(const MembershipEffects &effects);
 
@@ -47,6 +50,8 @@
     void sendTo(const Endpoint &member, GossipBody body);
     /** Adopts zones out of service that were read from the store or from another node. */
     ZonesUpdate adoptZones(const ZonesOut &zones);
+    /** Tells a few members at once how recently this node knew what the store holds. */
+    void spreadStoreKnowledge();
     /** Notifies others of the policy, after a newer one was adopted. */
     void onPolicyAdopted();
     /** Announces whether the local target takes work. */
@@ -68,6 +73,7 @@
     void receive(std::string_view bytes);
     /** Takes what a datagram states of the store; returns whether its sender knows more. */
     bool takeStoreStatement(const Datagram &datagram);
+    void onBehind(StoreTopic topic);
     /** Makes the next datagrams state what this node knows of the store, and how recently. */
     void stateStoreKnowledge();
 
@@ -84,6 +90,7 @@
     Metrics &m_metrics;
     udp::socket m_socket;
     TokenHandler m_tokenHandler;
+    ChangeListener m_changeListener;
     bool m_pulling = false;
     std::optional<Error> m_lastError;
 };
--- a/src/transport/node.cpp
+++ b/src/transport/node.cpp
@@ -238,6 +238,7 @@
     spawnLoop("discover-nodes", [&sync] { return sync.discoverNodes(); });
     spawnLoop("follow-policy", [&sync] { return sync.followPolicy(); });
     spawnLoop("follow-zones", [&sync] { return sync.followZones(); });
+    spawnLoop("check-store", [&sync] { return sync.checkPeriodically(); });
     spawnLoop("target-gate", [&monitor] { return monitor.applyPeriodically(); });
 }
 
--- a/src/transport/object_store_client.cpp
+++ b/src/transport/object_store_client.cpp
@@ -10,6 +10,8 @@
 
 /** A store that is slow but available responds within this time. */
 constexpr Duration callTimeout = 2s;
+/** A check that is not answered by then is repeated, here or by another node. */
+constexpr Duration checkTimeout = 1s;
 /** A page holds about a megabyte, or one object more. */
 constexpr std::size_t maximumPageBytes = 4u << 20;
 /** Many times what the store holds of one kind at the size of the largest fleet. */
@@ -93,12 +95,23 @@
 }
 
 Task<StoreReply> ObjectStoreClient::list(std::string kind, Freshness freshness)
+{
+    return listPages(std::move(kind), freshness, callTimeout);
+}
+
+Task<StoreReply> ObjectStoreClient::check(std::string kind)
+{
+    return listPages(std::move(kind), Freshness::Current, checkTimeout);
+}
+
+Task<StoreReply> ObjectStoreClient::listPages(std::string kind, Freshness freshness,
+                                              Duration limitOfPage)
 {
     StoreListing all;
     std::size_t bytes = 0;
     for (;;) {
         HttpRequest request = m_format.listRequest(kind, all.lastName, freshness);
-        StoreReply reply = co_await call(std::move(request), callTimeout, m_format.parseListing);
+        StoreReply reply = co_await call(std::move(request), limitOfPage, m_format.parseListing);
         StoreListing *page = std::get_if<StoreListing>(&reply);
         if (!page)
             co_return reply;
--- a/src/transport/object_store_client.h
+++ b/src/transport/object_store_client.h
@@ -32,6 +32,8 @@
      * responds in another era.
      */
     Task<StoreReply> watch(std::string kind, StorePosition after, Duration wait);
+    /** Lists all objects of a kind as they are now, within a time that suits a repeated call. */
+    Task<StoreReply> check(std::string kind);
     Task<StoreReply> create(std::string kind, std::string name, boost::json::value value);
     Task<StoreReply> replace(std::string kind, std::string name, boost::json::value value);
     Task<StoreReply> remove(std::string kind, std::string name);
@@ -42,6 +44,7 @@
     using ResponseParser = StoreReply (*)(const HttpResponse &response);
 
     Task<StoreReply> call(HttpRequest request, Duration limit, ResponseParser parse);
+    Task<StoreReply> listPages(std::string kind, Freshness freshness, Duration limitOfPage);
     /** Parses a response, and gives positions in it the era that it states. */
     StoreReply parseInEra(const HttpResponse &response, ResponseParser parse);
     void logAvailabilityChange(const StoreReply &reply);
--- a/src/transport/store_sync.cpp
+++ b/src/transport/store_sync.cpp
@@ -1,5 +1,6 @@
 #include "store_sync.h"
 
+#include "ibiswell/decisions/store_check.h"
 #include "ibiswell/policy/object_reader.h"
 
 #include <fmt/format.h>
@@ -24,6 +25,8 @@
 /** More than die together on an ordinary day; in a small fleet all nodes watch. */
 constexpr std::size_t watchersPerZone = 6;
 constexpr Duration watcherCheckInterval = 250ms;
+/** How often a node looks whether a check of the store is due; no call. */
+constexpr Duration checkDueInterval = 50ms;
 /** Until then a node that starts hears of the other members and of what they know. */
 constexpr Duration settlingTime = 1500ms;
 /** Nodes that start together list only those that registered earlier; a second listing has all. */
@@ -72,19 +75,24 @@
     , m_store(kernel.get<ObjectStoreClient>("object-store"))
     , m_gossip(kernel.get<Gossip>("gossip"))
     , m_log(kernel.get<Log>("log"))
+    , m_followed {Followed(context, StoreTopic::Policy, m_store.format().policyKind,
+                           &StoreSync::applyPolicy),
+                  Followed(context, StoreTopic::ZonesOut, m_store.format().zonesOutKind,
+                           &StoreSync::applyZones)}
     , m_eraChanged(context, std::chrono::steady_clock::time_point::max())
 {
     m_era.setListener([this](std::uint64_t previous) { onEraChanged(previous); });
+    m_gossip.setChangeListener([this](StoreTopic topic) { onChangeElsewhere(topic); });
 }
 
 Task<void> StoreSync::followPolicy()
 {
-    return follow({StoreTopic::Policy, m_store.format().policyKind, &StoreSync::applyPolicy});
+    return follow(followed(StoreTopic::Policy));
 }
 
 Task<void> StoreSync::followZones()
 {
-    return follow({StoreTopic::ZonesOut, m_store.format().zonesOutKind, &StoreSync::applyZones});
+    return follow(followed(StoreTopic::ZonesOut));
 }
 
 bool StoreSync::isWatcher() const
@@ -109,15 +117,19 @@
         {{"latest", fmt::to_string(m_era.latest())}, {"previous", fmt::to_string(previous)}});
     m_policy.onStoreEra(steadyNow(), m_era.latest());
     m_eraChanged.cancel();
+    for (Followed &followed : m_followed)
+        followed.trustEnds.cancel();
 }
 
-Task<void> StoreSync::follow(Followed followed)
+Task<void> StoreSync::follow(Followed &followed)
 {
+    followed.cursor = {};
     for (;;) {
         if (followed.cursor.hasRead())
             co_await awaitWatcherRole();
+        TimePoint sentAt = steadyNow();
         StoreReply reply = co_await readNext(followed);
-        bool isApplied = applyReply(followed, reply);
+        bool isApplied = applyReply(followed, reply, sentAt);
         if (isApplied)
             continue;
         followed.cursor.onInterrupted();
@@ -125,14 +137,12 @@
     }
 }
 
-Task<StoreReply> StoreSync::readNext(const Followed &followed)
+Task<StoreReply> StoreSync::readNext(Followed &followed)
 {
     NextStoreCall next = followed.cursor.next(steadyNow(), m_era.latest());
     if (const WatchObjects *watched = std::get_if<WatchObjects>(&next)) {
-        m_confirmation.setWatching(steadyNow(), followed.topic, true);
-        StoreReply reply = co_await watch(followed, watched->after);
-        m_confirmation.setWatching(steadyNow(), followed.topic, false);
-        co_return reply;
+        auto watching = watch(followed, watched->after);
+        co_return co_await std::move(watching);
     }
     ++m_listings;
     StoreReply reply = co_await m_store.list(followed.kind, Freshness::Current);
@@ -149,34 +159,164 @@
     co_return m_era.latest() > era;
 }
 
-Task<StoreReply> StoreSync::watch(const Followed &followed, StorePosition after)
+Task<bool> StoreSync::waitForDistrust(Followed &followed, StorePosition after)
+{
+    asio::cancellation_state state = co_await asio::this_coro::cancellation_state;
+    auto isTrusted = [&] {
+        return m_era.latest() <= after.era && !followed.trust.hasEnded(steadyNow());
+    };
+    while (isTrusted() && state.cancelled() == asio::cancellation_type::none) {
+        co_await followed.trustEnds.async_wait(asResult);
+        state = co_await asio::this_coro::cancellation_state;
+    }
+    co_return !isTrusted();
+}
+
+Task<StoreReply> StoreSync::watch(Followed &followed, StorePosition after)
 {
     using namespace asio::experimental::awaitable_operators;
+    struct WaitGuard
+    {
+        Followed &followed;
+        explicit WaitGuard(Followed &followed)
+            : followed(followed)
+        {
+            followed.trust.onOpened();
+            followed.trustEnds.expires_at(std::chrono::steady_clock::time_point::max());
+            followed.isWatching = true;
+        }
+        ~WaitGuard() { followed.isWatching = false; }
+    } guard {followed};
     auto watching = wrapInOptional(m_store.watch(followed.kind, after, watchWait));
-    auto ended = co_await (std::move(watching) || waitForEraAfter(after.era));
+    auto ended = co_await (std::move(watching) || waitForDistrust(followed, after));
     co_await throwIfCancelled();
     if (ended.index() == 0)
         co_return std::move(*std::get<0>(ended));
+    ++m_watchesGivenUp;
+    m_log.write(steadyNow(), LogLevel::Info, "store-watch-given-up",
+                {{"kind", followed.kind},
+                 {"reason",
+                  m_era.latest() > after.era ? "the store came back from a copy"
+                                             : "it did not tell what is known otherwise"}});
     co_return StoreHistoryGone {};
 }
 
-bool StoreSync::applyReply(Followed &followed, const StoreReply &reply)
+bool StoreSync::applyReply(Followed &followed, const StoreReply &reply, TimePoint sentAt)
 {
     bool isAvailable = !std::holds_alternative<Error>(reply);
     if (isAvailable)
         m_connectivity.onPlatformResponse(steadyNow());
+    bool isApplied = false;
     if (const StoreListing *listing = std::get_if<StoreListing>(&reply)) {
-        m_confirmation.onStatement(steadyNow(), Duration::zero());
         followed.cursor.onRead(steadyNow(), listing->position);
-        return (this->*followed.apply)({listing->objects, true, listing->position});
-    }
-    if (const StoreChanges *changes = std::get_if<StoreChanges>(&reply)) {
+        isApplied = (this->*followed.apply)({listing->objects, true, listing->position});
+    } else if (const StoreChanges *changes = std::get_if<StoreChanges>(&reply)) {
         followed.backoff.onSuccess();
         followed.cursor.onRead(steadyNow(), changes->position);
-        return (this->*followed.apply)({changes->objects, false, changes->position});
+        isApplied = (this->*followed.apply)({changes->objects, false, changes->position});
+    } else {
+        logInterruption(followed, reply);
+    }
+    if (isApplied)
+        m_confirmation.onResponse(followed.topic, sentAt);
+    return isApplied;
+}
+
+bool StoreSync::isCheckDue() const
+{
+    TimePoint now = steadyNow();
+    Duration age = m_confirmation.age(now);
+    if (age < firstStoreCheckAge || now < m_nextCheckAt)
+        return false;
+    for (const Followed &followed : m_followed) {
+        if (!followed.isWatching)
+            return false; // the store is asked anyway, or another node watches
+    }
+    return age >= storeCheckAge(storeCheckRank(m_membership.self(), m_membership.activeMembers()));
+}
+
+Task<void> StoreSync::checkPeriodically()
+{
+    for (;;) {
+        if (isCheckDue())
+            co_await check();
+        co_await sleepFor(checkDueInterval);
     }
-    logInterruption(followed, reply);
-    return false;
+}
+
+Task<void> StoreSync::check()
+{
+    TimePoint startedAt = steadyNow();
+    for (Followed *followed : {&m_followed[1], &m_followed[0]}) { // the shorter list first
+        // The response about the other kind may have told that nothing at all has changed.
+        if (m_confirmation.confirmedAt(followed->topic) >= startedAt)
+            continue;
+        bool isAnswered = co_await checkTopic(*followed);
+        onCallEnded(isAnswered);
+        if (!isAnswered) {
+            m_nextCheckAt = steadyNow() + storeCheckRetryDelay;
+            co_return;
+        }
+    }
+    m_gossip.spreadStoreKnowledge();
+}
+
+Task<bool> StoreSync::checkTopic(Followed &followed)
+{
+    ++m_checks;
+    TimePoint sentAt = steadyNow();
+    StoreReply reply = co_await m_store.check(followed.kind);
+    if (const StoreListing *listing = std::get_if<StoreListing>(&reply))
+        applyCheck(followed, *listing, sentAt);
+    applyTrust(followed);
+    co_return std::holds_alternative<StoreListing>(reply);
+}
+
+void StoreSync::applyCheck(Followed &followed, const StoreListing &listing, TimePoint sentAt)
+{
+    TimePoint now = steadyNow();
+    m_connectivity.onPlatformResponse(now);
+    bool isApplied = (this->*followed.apply)({listing.objects, true, listing.position});
+    if (!isApplied) {
+        followed.trust.onListingNeeded(now);
+        return;
+    }
+    m_confirmation.onResponse(followed.topic, sentAt);
+    followed.cursor.onChecked(listing.position);
+    // The revision is that of the whole store: kinds that were read up to it have not changed.
+    for (Followed &other : m_followed) {
+        if (other.cursor.position() == listing.position)
+            m_confirmation.onResponse(other.topic, sentAt);
+    }
+}
+
+void StoreSync::onChangeElsewhere(StoreTopic topic)
+{
+    Followed &changed = followed(topic);
+    if (!changed.isWatching)
+        return;
+    changed.trust.onChangeLearned(steadyNow());
+    applyTrust(changed);
+}
+
+void StoreSync::onCallEnded(bool isAnswered)
+{
+    for (Followed &followed : m_followed) {
+        if (!followed.isWatching)
+            continue;
+        if (isAnswered)
+            followed.trust.onRequestAnswered(steadyNow());
+        else
+            followed.trust.onRequestLost();
+        applyTrust(followed);
+    }
+}
+
+void StoreSync::applyTrust(Followed &followed)
+{
+    std::optional<TimePoint> endsAt = followed.trust.endsAt();
+    if (endsAt && followed.isWatching)
+        followed.trustEnds.expires_after(std::max<Duration>(*endsAt - steadyNow(), {}) + 1ms);
 }
 
 void StoreSync::logInterruption(const Followed &followed, const StoreReply &reply)
@@ -244,6 +384,7 @@
 {
     std::string kind {nodesKind};
     StoreReply reply = co_await m_store.list(kind, freshness);
+    onCallEnded(!std::holds_alternative<Error>(reply));
     StoreListing *listing = std::get_if<StoreListing>(&reply);
     if (!listing)
         co_return false;
@@ -331,6 +472,8 @@
     return {{"ibiswell_policy_version", static_cast<double>(m_policy.version())},
             {"ibiswell_store_era", static_cast<double>(m_era.latest())},
             {"ibiswell_store_listings", static_cast<double>(m_listings)},
+            {"ibiswell_store_checks", static_cast<double>(m_checks)},
+            {"ibiswell_store_watches_given_up", static_cast<double>(m_watchesGivenUp)},
             {"ibiswell_store_knowledge_age_seconds", inSeconds(m_confirmation.age(now))},
             {"ibiswell_zones_era", static_cast<double>(zones.era)},
             {"ibiswell_zones_revision", static_cast<double>(zones.revision)}};
--- a/src/transport/store_sync.h
+++ b/src/transport/store_sync.h
@@ -11,8 +11,11 @@
 #include "ibiswell/decisions/store_backoff.h"
 #include "ibiswell/decisions/store_cursor.h"
 #include "ibiswell/decisions/store_era.h"
+#include "ibiswell/decisions/watch_trust.h"
 #include "ibiswell/kernel/kernel.h"
 
+#include <array>
+
 namespace ibiswell {
 
 /**
@@ -32,6 +35,11 @@
     Task<void> followPolicy();
     /** Adopts the store's list of the zones out of service; runs until the node stops. */
     Task<void> followZones();
+    /**
+     * Asks the store whether the waiting watches have told all changes, when it is this node's turn
+     * (see store_check.h); runs until the node stops.
+     */
+    Task<void> checkPeriodically();
     /**
      * Registers this node, again where the store has lost its object, and periodically joins listed
      * nodes; runs until the node stops.
@@ -56,27 +64,59 @@
     /** What a node follows: the objects of one kind. */
     struct Followed
     {
+        Followed(asio::io_context &context, StoreTopic topic, std::string kind, ApplyFunction apply)
+            : topic(topic)
+            , kind(std::move(kind))
+            , apply(apply)
+            , trustEnds(context, std::chrono::steady_clock::time_point::max())
+        {
+        }
+
         StoreTopic topic;
         std::string kind;
         ApplyFunction apply;
         StoreCursor cursor {};
         StoreBackoff backoff {};
+        WatchTrust trust {}; ///< In the watch that waits.
+        bool isWatching = false;
+        asio::steady_timer trustEnds; ///< Expires when the trust in the watch ends.
     };
 
-    Task<void> follow(Followed followed);
+    Task<void> follow(Followed &followed);
     /** Makes the call that follows on what was read so far. */
-    Task<StoreReply> readNext(const Followed &followed);
-    /** Watches until the store has changed, or is known to have come back from a copy. */
-    Task<StoreReply> watch(const Followed &followed, StorePosition after);
+    Task<StoreReply> readNext(Followed &followed);
+    /** Watches until the store has changed, or the watch cannot be relied on any more. */
+    Task<StoreReply> watch(Followed &followed, StorePosition after);
+    /** Waits until the watch from @p after is to be given up. */
+    Task<bool> waitForDistrust(Followed &followed, StorePosition after);
     Task<bool> waitForEraAfter(std::uint64_t era);
-    /** Applies a reply; returns false when the next call is a listing, after a while. */
-    bool applyReply(Followed &followed, const StoreReply &reply);
+    /**
+     * Applies a reply to a request that was sent at @p sentAt; returns false when the next call is
+     * a listing, after a while.
+     */
+    bool applyReply(Followed &followed, const StoreReply &reply, TimePoint sentAt);
     /** Logs why the objects are listed again. */
     void logInterruption(const Followed &followed, const StoreReply &reply);
     void onEraChanged(std::uint64_t previous);
     /** Waits until this node is to watch the store by itself. */
     Task<void> awaitWatcherRole();
     bool isWatcher() const;
+
+    bool isCheckDue() const;
+    /** Asks the store for what it holds, and tells others that this node has it. */
+    Task<void> check();
+    /** Asks for the objects of one kind; returns false when the store did not respond. */
+    Task<bool> checkTopic(Followed &followed);
+    /** Applies the response to a check that was sent at @p sentAt. */
+    void applyCheck(Followed &followed, const StoreListing &listing, TimePoint sentAt);
+    /** Another node knows of a change of @p topic that this one has not read. */
+    void onChangeElsewhere(StoreTopic topic);
+    /** Whether a call other than a watch got a response tells how far watches can be trusted. */
+    void onCallEnded(bool isAnswered);
+    /** Has the watch of @p followed given up when its trust ends. */
+    void applyTrust(Followed &followed);
+    Followed &followed(StoreTopic topic) { return m_followed[static_cast<std::size_t>(topic)]; }
+
     Task<void> registerSelf();
     bool isRegistered() const;
     Task<void> joinNode(Endpoint endpoint);
@@ -95,6 +135,10 @@
     ObjectStoreClient &m_store;
     Gossip &m_gossip;
     Log &m_log;
+    std::array<Followed, storeTopicCount> m_followed; ///< By topic.
+    TimePoint m_nextCheckAt; ///< Not before, since the last one failed.
+    std::uint64_t m_checks = 0; ///< Requests to the store.
+    std::uint64_t m_watchesGivenUp = 0;
     asio::steady_timer m_eraChanged; ///< Never expires; cancelled when a newer era is known.
     /** The era in which the store is known to hold this node's object. */
     std::optional<std::uint64_t> m_registeredEra;
--- a/tests/process/platform_deployment.h
+++ b/tests/process/platform_deployment.h
@@ -45,16 +45,20 @@
 class PlatformDeployment
 {
 public:
-    explicit PlatformDeployment(int firstPort)
+    /** @param doors ports of the store, from @p firstPort; if several, each node has its own. */
+    explicit PlatformDeployment(int firstPort, int doors = 1)
         : m_firstPort(firstPort)
+        , m_doors(doors)
         , m_storePortOfNodes(firstPort)
         , m_folder(fmt::format("{}/platform-test-{}",
                                std::filesystem::temp_directory_path().string(), firstPort))
     {
         std::filesystem::create_directories(m_folder);
-        m_store = std::make_unique<Process>(
-            programFolder() + "/store_standin",
-            std::vector<std::string> {"--port", std::to_string(firstPort)}, logPath("store"));
+        m_store =
+            std::make_unique<Process>(programFolder() + "/store_standin",
+                                      std::vector<std::string> {"--port", std::to_string(firstPort),
+                                                                "--doors", std::to_string(doors)},
+                                      logPath("store"));
         REQUIRE(eventually([&] { return request(m_firstPort, "GET", "/").status == 404; }));
         writeStore("POST", "/api/objects/config", makeConfig(1, "shop", R"("key-1", "key-2")"));
     }
@@ -72,6 +76,7 @@
     int reportPort(int node) const { return portOf(node, 3); }
     int targetPort(int node) const { return portOf(node, 4); }
     int peerPort(int node) const { return portOf(node, 1); }
+    int metricsPort(int node) const { return portOf(node, 5); }
     int storePort() const { return m_firstPort; }
     /** Nodes that are added from now on use another store. */
     void useStore(int port) { m_storePortOfNodes = port; }
@@ -97,7 +102,8 @@
                 "memory_mb": 160, "platform": "127.0.0.1:{}", "front": {{"readiness": "127.0.0.1:{}",
                 "reports": "127.0.0.1:{}", "metrics": "127.0.0.1:{}", "bounds": "grace-s=6"}}}})",
             node, service, zone, callerPort(node), portOf(node, 1), targetPort(node),
-            m_storePortOfNodes, readinessPort(node), reportPort(node), portOf(node, 5));
+            m_storePortOfNodes + (m_doors > 1 ? node : 0), readinessPort(node), reportPort(node),
+            metricsPort(node));
         settings.close();
         m_nodes.emplace_back();
         startNode(node);
@@ -199,7 +205,7 @@
 
     int portOf(int node, int offset) const
     {
-        return m_firstPort + 1 + node * portsPerNode + offset;
+        return m_firstPort + m_doors + node * portsPerNode + offset;
     }
     std::string settingsPath(int node) const
     {
@@ -207,6 +213,7 @@
     }
 
     int m_firstPort;
+    int m_doors;
     int m_storePortOfNodes;
     std::string m_folder;
     int m_reports = 0; ///< That reportTarget() sent.
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -4,7 +4,8 @@
  *
  * POST /faults   {"mode": "" | "busy" | "many" | "silent", "lose_writes": N, "forget": true,
  *                 "odd_entry": TEXT, "copy": true, "restore": true, "keep_watches": BOOL,
- *                 "endless_pages": BOOL}
+ *                 "endless_pages": BOOL, "silent_doors": [N], "silent_kind": TEXT,
+ *                 "watch_delay_ms": N}
  *                "busy", "many" and "silent": all requests get 503, 429 or no response,
  *                but for those with a header field Operator;
  *                "lose_writes": the next N writes take effect but get no response;
@@ -19,6 +20,10 @@
  *                default they end with 503
  *                "endless_pages": each listing is a page of about a megabyte that another one
  *                follows
+ *                "silent_doors": responses at these doors are lost, those of requests that arrive
+ *                meanwhile for good; "silent_kind": only those on this kind. Nodes reach the store
+ *                through different doors: consecutive ports from the given one.
+ *                "watch_delay_ms": responses to watches arrive so much later
  *
  * Each response states the era in Store-Era.
  */
@@ -36,6 +41,7 @@
 #include <charconv>
 #include <deque>
 #include <map>
+#include <set>
 
 namespace ibiswell {
 
@@ -71,9 +77,18 @@
     {
     }
 
-    Task<HttpResponse> handle(HttpRequest request)
+    Task<HttpResponse> handle(std::size_t door, HttpRequest request)
     {
+        std::string path = request.path;
+        bool isOperator = !request.header(operatorField).empty();
+        bool isWatch = path.find("watch=") != std::string::npos;
+        bool isLost = isSilent(door, path) && !isOperator;
         HttpResponse response = co_await respond(std::move(request));
+        isLost = isLost || (isSilent(door, path) && !isOperator);
+        if (isLost)
+            co_await sleepFor(silentDelay);
+        if (isWatch)
+            co_await sleepFor(m_watchDelay);
         response.headers.push_back({"Store-Era", std::to_string(m_current.era)});
         co_return response;
     }
@@ -124,6 +139,13 @@
         co_return co_await watch(kind, parseNumberAfter(query, "watch="), wait);
     }
 
+    /** Whether a response that is due now at @p door would be lost. */
+    bool isSilent(std::size_t door, std::string_view path) const
+    {
+        return m_silentDoors.contains(door)
+            && path.starts_with(std::string(objectsPath) + m_silentKind);
+    }
+
     void discardHistory()
     {
         m_events.clear();
@@ -158,6 +180,10 @@
         reader.readBoolean("restore", restores);
         reader.readBoolean("keep_watches", m_keepsWatches);
         reader.readBoolean("endless_pages", m_hasEndlessPages);
+        reader.readText("silent_kind", m_silentKind);
+        reader.readMilliseconds("watch_delay_ms", {0, 60'000}, m_watchDelay);
+        if (const json::value *doors = reader.readChild("silent_doors"))
+            setSilentDoors(*doors);
         if (discardsChanges)
             discardHistory();
         if (takesCopy)
@@ -167,6 +193,13 @@
         return makeResponse(errors.isEmpty() ? 200 : 400);
     }
 
+    void setSilentDoors(const json::value &doors)
+    {
+        m_silentDoors.clear();
+        for (const json::value &door : doors.as_array())
+            m_silentDoors.insert(door.to_number<std::size_t>());
+    }
+
     HttpResponse write(const HttpRequest &request, const std::string &kind, std::string name)
     {
         if (request.method == "DELETE") {
@@ -280,6 +313,9 @@
     std::uint64_t m_discardedUntil = 0;
     std::string m_mode;
     std::string m_oddEntry;
+    std::set<std::size_t> m_silentDoors;
+    std::string m_silentKind; ///< Empty: all kinds.
+    Duration m_watchDelay {};
     int m_writesToLose = 0;
     asio::steady_timer m_changeSignal;
 };
@@ -293,13 +329,16 @@
     using namespace ibiswell;
     namespace po = boost::program_options;
     std::uint16_t port = 0;
+    std::size_t doors = 1;
     po::options_description options("Options");
-    options.add_options()("port", po::value(&port)->required(), "TCP port on loopback");
+    options.add_options()("port", po::value(&port)->required(), "first TCP port on loopback")(
+        "doors", po::value(&doors), "number of ports");
     po::variables_map given;
     po::store(po::parse_command_line(argc, argv, options), given);
     po::notify(given);
     asio::io_context context;
     Store store(context);
-    return serveStandin(context, port,
-                        [&](HttpRequest request) { return store.handle(std::move(request)); });
+    return serveStandin(context, port, doors, [&](std::size_t door, HttpRequest request) {
+        return store.handle(door, std::move(request));
+    });
 }
--- a/tests/store_confirmation_test.cpp
+++ b/tests/store_confirmation_test.cpp
@@ -2,9 +2,13 @@
 
 #include "ibiswell/core/random.h"
 #include "ibiswell/decisions/policy_store.h"
+#include "ibiswell/decisions/store_check.h"
+#include "ibiswell/decisions/watch_trust.h"
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,27 +43,64 @@
     return watchers;
 }
 
-/** Each node probes a random other one each half second, which responds. */
-int countStale(const std::vector<bool> &isWatching, Duration length)
+/** How a model of a fleet keeps its knowledge of the store recent. */
+struct FreshnessFigures
 {
-    std::vector<StoreConfirmation> nodes(isWatching.size());
-    for (std::size_t i = 0; i < nodes.size(); ++i) {
-        nodes[i].onStatement(start, 0s);
-        for (StoreTopic topic : {StoreTopic::Policy, StoreTopic::ZonesOut})
-            nodes[i].setWatching(start, topic, isWatching[i]);
-    }
+    Duration greatestAge {}; ///< At any node, after the first seconds.
+    double checksPerSecond = 0; ///< Of the whole fleet.
+};
+
+/**
+ * Nodes that exchange what they know: each probes a random other one each half second, which
+ * responds, and reports to four holders of rates. The nodes before @p firstAnswered get no response
+ * from the store, in the order of their ranks.
+ */
+FreshnessFigures playFreshness(std::size_t nodes, std::size_t firstAnswered, Duration length)
+{
+    constexpr Duration step = 50ms;
+    constexpr Duration warmUp = 5s;
+    constexpr std::size_t holders = 4;
+    constexpr std::size_t spreadTo = 8;
+    std::vector<StoreConfirmation> fleet(nodes);
+    std::vector<TimePoint> nextCheckAt(nodes, start);
+    for (StoreConfirmation &node : fleet)
+        node.onStatement(start, 0s);
     Random random {3};
-    int stale = 0;
-    for (TimePoint now = start; now < start + length; now += 500ms) {
-        for (StoreConfirmation &sender : nodes) {
-            StoreConfirmation &probed = nodes[pickIndex(random, nodes.size())];
-            probed.onStatement(now, sender.age(now));
-            sender.onStatement(now, probed.age(now));
+    FreshnessFigures figures;
+    int checks = 0;
+    auto exchange = [](TimePoint now, StoreConfirmation &a, StoreConfirmation &b) {
+        b.onStatement(now, a.age(now));
+        a.onStatement(now, b.age(now));
+    };
+    int round = 0;
+    for (TimePoint now = start; now < start + length; now += step, ++round) {
+        for (std::size_t i = 0; i < nodes; ++i) {
+            StoreConfirmation &node = fleet[i];
+            bool isTurn = (i + static_cast<std::size_t>(round)) % 10 == 0;
+            if (isTurn) {
+                exchange(now, node, fleet[pickIndex(random, nodes)]);
+                for (std::size_t holder = 0; holder < holders; ++holder)
+                    exchange(now, node, fleet[nodes - 1 - holder]);
+            }
+            if (node.age(now) < storeCheckAge(i) || now < nextCheckAt[i])
+                continue;
+            ++checks;
+            if (i < firstAnswered) {
+                nextCheckAt[i] = now + storeCheckRetryDelay;
+                continue;
+            }
+            for (StoreTopic topic : {StoreTopic::Policy, StoreTopic::ZonesOut})
+                node.onResponse(topic, now);
+            for (std::size_t told = 0; told < spreadTo; ++told)
+                exchange(now, node, fleet[pickIndex(random, nodes)]);
+        }
+        for (const StoreConfirmation &node : fleet) {
+            if (now > start + warmUp)
+                figures.greatestAge = std::max(figures.greatestAge, node.age(now));
         }
-        for (const StoreConfirmation &node : nodes)
-            stale += node.isCurrent(now) ? 0 : 1;
     }
-    return stale;
+    figures.checksPerSecond = checks / inSeconds(length);
+    return figures;
 }
 
 } // namespace
@@ -71,16 +112,18 @@
     CHECK(countWatchers(makeMembers(10, 100)) == 60);
 }
 
-TEST_CASE("a node is current while it watches, and as long as others state that they are")
+// Guards against the fault of review/9: a watch that waits counted as proof at any moment.
+TEST_CASE("CONFIG: a node is current as of its requests that the store answered, on all topics")
 {
     StoreConfirmation own;
     CHECK_FALSE(own.isCurrent(start));
-    own.setWatching(start, StoreTopic::Policy, true);
-    CHECK_FALSE(own.isCurrent(start)); // the zones are not watched yet
-    own.setWatching(start, StoreTopic::ZonesOut, true);
-    CHECK(own.age(start + 1h) == 0s);
-    own.setWatching(start + 1h, StoreTopic::Policy, false);
-    CHECK(own.age(start + 1h + 1s) == 1s);
+    own.onResponse(StoreTopic::Policy, start);
+    CHECK_FALSE(own.isCurrent(start)); // nothing is known of the zones yet
+    own.onResponse(StoreTopic::ZonesOut, start + 1s);
+    CHECK(own.age(start + 1s) == 1s);
+    CHECK(own.age(start + 1h) == 1h); // whatever waits meanwhile
+    own.onResponse(StoreTopic::Policy, start - 1s); // a watch that was opened earlier ends now
+    CHECK(own.age(start + 1s) == 1s);
 
     StoreConfirmation other;
     other.onStatement(start, neverConfirmed);
@@ -92,14 +135,60 @@
     CHECK(other.age(start + 2s) == 4s);
 }
 
-// Load: 195 nodes. With watchers nobody else asks the store; without, all do within seconds.
-TEST_CASE("the knowledge of few watchers reaches all nodes, and ends with the watchers")
+// Load: 18, 63 and 195 nodes, of which one after the other gets no response.
+TEST_CASE("CONFIG: the calls that keep a fleet current do not grow with it")
+{
+    for (std::size_t nodes : {18, 63, 195}) {
+        FreshnessFigures figures = playFreshness(nodes, 0, 60s);
+        MESSAGE(nodes << " nodes: " << figures.checksPerSecond << " checks a second, greatest age "
+                      << inSeconds(figures.greatestAge) << " s");
+        CHECK(figures.checksPerSecond < 1.5);
+        CHECK(figures.greatestAge < StoreConfirmation::maximumAge);
+        figures = playFreshness(nodes, 1, 60s);
+        MESSAGE("the first is not answered: " << figures.checksPerSecond << " checks a second, "
+                                              << inSeconds(figures.greatestAge) << " s");
+        CHECK(figures.greatestAge < StoreConfirmation::maximumAge);
+        figures = playFreshness(nodes, nodes - 1, 60s);
+        MESSAGE("only the last is answered: " << inSeconds(figures.greatestAge) << " s");
+        CHECK(figures.greatestAge < StoreConfirmation::maximumAge);
+    }
+}
+
+TEST_CASE("CONFIG: nodes rank themselves without a message, and the first ranks ask first")
+{
+    std::vector<Member> members = makeMembers(3, 5);
+    std::vector<const Member *> active;
+    for (const Member &member : members)
+        active.push_back(&member);
+    std::set<std::size_t> ranks;
+    for (const Member &member : members)
+        ranks.insert(storeCheckRank(member, active));
+    CHECK(ranks.size() == members.size());
+    for (std::size_t rank = 1; rank < members.size(); ++rank)
+        CHECK(storeCheckAge(rank) >= storeCheckAge(rank - 1));
+    CHECK(storeCheckAge(1) > storeCheckAge(0));
+    CHECK(storeCheckAge(18000) < 2s); // config-s, also for the last node that hears the store
+}
+
+TEST_CASE("CONFIG: a watch that others contradict is given up once its response is overdue")
+{
+    WatchTrust trust;
+    CHECK_FALSE(trust.endsAt());
+    trust.onChangeLearned(start);
+    CHECK_FALSE(trust.hasEnded(start + 900ms)); // its response may be on the way
+    trust.onChangeLearned(start + 900ms);
+    CHECK(trust.hasEnded(start + WatchTrust::responseTime));
+    trust.onOpened();
+    CHECK_FALSE(trust.endsAt());
+}
+
+TEST_CASE("CONFIG: a watch from before lost responses is given up when the store responds again")
 {
-    std::vector<bool> isWatching(195, false);
-    for (std::size_t i = 0; i < 36; ++i)
-        isWatching[i * 5] = true;
-    CHECK(countStale(isWatching, 60s) == 0);
-    std::vector<bool> none(195, false);
-    CHECK(countStale(none, 3s) == 0);
-    CHECK(countStale(none, 10s) >= 195 * 13);
+    WatchTrust trust;
+    trust.onRequestAnswered(start);
+    CHECK_FALSE(trust.endsAt());
+    trust.onRequestLost();
+    CHECK_FALSE(trust.endsAt()); // nothing better can be opened yet
+    trust.onRequestAnswered(start + 5s);
+    CHECK(trust.hasEnded(start + 5s));
 }
