CONFIG: a datagram states the age of the knowledge at the time of sending

Cause: the age of a node's knowledge of the store was written into the member once for each protocol period and sent with later datagrams, up to half a second after. A receiver took that age for the age at the arrival, so each relay made the knowledge younger. Three nodes that told each other kept an age of 0.1 to 0.2 s for good while none of them had a response from the store: the count of checks stood still, and a request with a withdrawn key was served by all three.

Change: Gossip fills in the statement of the store as each datagram is sent. Membership no longer holds one.

Random plays of silent doors are part of the process tests (SILENCE_SEED, SILENCE_RUNS); one seed runs with them.

--- a/include/ibiswell/core/messages.h
+++ b/include/ibiswell/core/messages.h
@@ -280,7 +280,7 @@
     std::uint64_t policyVersion = 0; ///< Version of the policy that the sender uses.
     std::vector<Member> updates; ///< A few membership updates, piggybacked on each datagram.
     GossipBody body;
-    StoreStatement store {};
+    StoreStatement store {}; ///< Filled in when the datagram is sent.
 };
 
 /** Effect of a decision: a datagram to send. */
--- a/include/ibiswell/decisions/membership.h
+++ b/include/ibiswell/decisions/membership.h
@@ -76,8 +76,6 @@
     std::size_t size() const { return m_members.size() + 1; }
 
     void setPolicyVersion(std::uint64_t version) { m_policyVersion = version; }
-    /** Stated in each datagram from now on. */
-    void setStoreStatement(const StoreStatement &statement) { m_storeStatement = statement; }
 
     static Duration probePeriod();
 
@@ -141,7 +139,6 @@
     std::map<std::string, int> m_pendingUpdates; ///< Node to remaining transmissions.
     std::uint64_t m_nextSequence = 1;
     std::uint64_t m_policyVersion = 0;
-    StoreStatement m_storeStatement;
     std::uint64_t m_probeCount = 0; ///< Includes attempts that found no member to probe.
 };
 
--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -108,8 +108,7 @@
 
 Datagram Membership::makeDatagram(GossipBody body)
 {
-    return {m_self.node,   m_self.endpoint, m_policyVersion,
-            takeUpdates(), std::move(body), m_storeStatement};
+    return {m_self.node, m_self.endpoint, m_policyVersion, takeUpdates(), std::move(body)};
 }
 
 void Membership::mergeSelf(const Member &update)
--- a/src/transport/gossip.cpp
+++ b/src/transport/gossip.cpp
@@ -64,11 +64,12 @@
     auto address = asio::ip::make_address(effect.to.address, ec);
     if (ec)
         return;
-    std::string bytes = encode(effect.datagram);
+    Datagram datagram = effect.datagram;
+    datagram.store = storeStatement();
+    std::string bytes = encode(datagram);
     if (bytes.size() > maximumDatagramBytes) {
-        Datagram withoutUpdates = effect.datagram;
-        withoutUpdates.updates.clear();
-        bytes = encode(withoutUpdates);
+        datagram.updates.clear();
+        bytes = encode(datagram);
     }
     // An error here is a lost datagram, which the membership protocol tolerates.
     m_socket.send_to(asio::buffer(bytes), udp::endpoint(address, effect.to.port), 0, ec);
@@ -110,7 +111,6 @@
     }
     m_connectivity.onPeerMessage(steadyNow());
     bool isBehind = takeStoreStatement(*datagram);
-    stateStoreKnowledge();
     apply(m_membership.onDatagram(steadyNow(), *datagram));
     if (isBehind && !m_pulling) {
         m_pulling = true;
@@ -178,7 +178,6 @@
 {
     for (;;) {
         co_await sleepFor(Membership::probePeriod());
-        stateStoreKnowledge();
         apply(m_membership.tick(steadyNow(), m_node.random));
     }
 }
@@ -215,7 +214,11 @@
     apply(m_membership.onRoster(steadyNow(), members));
 }
 
-void Gossip::stateStoreKnowledge()
+/**
+ * Made anew for each datagram: other nodes pass on the age that it states, and an age from earlier
+ * would make knowledge younger with each node that passes it on.
+ */
+StoreStatement Gossip::storeStatement() const
 {
     StoreStatement statement;
     statement.zonesPosition = m_policy.zonesOut().position;
@@ -224,25 +227,22 @@
         statement.era = m_era->latest();
     if (m_confirmation)
         statement.confirmationAge = m_confirmation->age(steadyNow());
-    m_membership.setStoreStatement(statement);
+    return statement;
 }
 
 void Gossip::spreadStoreKnowledge()
 {
-    stateStoreKnowledge();
     apply(m_membership.sendToRandomMembers(MemberUpdate {}, knowledgeFanout, m_node.random));
 }
 
 void Gossip::sendTo(const Endpoint &member, GossipBody body)
 {
-    stateStoreKnowledge();
     send({member, m_membership.makeDatagram(std::move(body))});
 }
 
 ZonesUpdate Gossip::adoptZones(const ZonesOut &zones)
 {
     ZonesUpdate update = m_policy.adoptZones(steadyNow(), zones);
-    stateStoreKnowledge();
     if (update != ZonesUpdate::Changed)
         return update;
     m_log.write(steadyNow(), LogLevel::Info, "zones-adopted",
--- a/src/transport/gossip.h
+++ b/src/transport/gossip.h
@@ -36,6 +36,7 @@
     bool listen(const Endpoint &endpoint);
     void setTokenHandler(TokenHandler handler) { m_tokenHandler = std::move(handler); }
     void setChangeListener(ChangeListener listener) { m_changeListener = std::move(listener); }
+    /** Sends a datagram, with what this node knows of the store at this moment. */
     void send(const SendDatagram &effect);
     void apply(const MembershipEffects &effects);
 
@@ -74,8 +75,8 @@
     /** Takes what a datagram states of the store; returns whether its sender knows more. */
     bool takeStoreStatement(const Datagram &datagram);
     void onBehind(StoreTopic topic);
-    /** Makes the next datagrams state what this node knows of the store, and how recently. */
-    void stateStoreKnowledge();
+    /** What this node knows of the store now, and how recently it knew that it has all. */
+    StoreStatement storeStatement() const;
 
     asio::io_context &m_context;
     NodeState &m_node;
--- a/tests/process/silent_store_test.cpp
+++ b/tests/process/silent_store_test.cpp
@@ -2,14 +2,19 @@
  * The store is silent to some nodes, in turn or at once, and serves them again: responses that were
  * due meanwhile are lost for good, so that watches wait for nothing. A change that the store
  * acknowledges once all nodes are served again is in force in time nevertheless.
+ *
+ * SILENCE_SEED=N SILENCE_RUNS=M plays M random sequences of silences, from seed N on.
  */
 
 #include "platform_deployment.h"
 
+#include "ibiswell/core/random.h"
+
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
+#include <cstdlib>
 #include <ostream>
 #include <thread>
 
@@ -150,6 +155,43 @@
     int m_zones = 0; ///< Without targets, that were taken out.
 };
 
+constexpr const char *kinds[] {"", "config", "evacuations"};
+
+Silence drawSilence(Random &random)
+{
+    Silence silence;
+    for (int node = 0; node < nodeCount; ++node) {
+        if (uniform(random) < 0.5)
+            silence.nodes.push_back(node);
+    }
+    if (silence.nodes.empty())
+        silence.nodes = {0, 1, 2};
+    silence.length = 500ms + milliseconds(static_cast<int>(3500 * uniform(random)));
+    silence.kind = kinds[pickIndex(random, std::size(kinds))];
+    silence.change = static_cast<Change>(pickIndex(random, 3));
+    return silence;
+}
+
+Play drawPlay(Random &random)
+{
+    Play play;
+    std::size_t silences = 1 + pickIndex(random, 4);
+    for (std::size_t i = 0; i < silences; ++i)
+        play.silences.push_back(drawSilence(random));
+    bool isCalm = uniform(random) < 0.8;
+    play.calm = isCalm ? 3200ms + milliseconds(static_cast<int>(3000 * uniform(random))) : 0ms;
+    play.change = uniform(random) < 0.7 ? Change::Config : Change::Evacuation;
+    bool isDelayed = uniform(random) < 0.25;
+    play.watchDelay = isDelayed ? 5000ms : 0ms;
+    return play;
+}
+
+int environmentNumber(const char *name, int otherwise)
+{
+    const char *text = std::getenv(name);
+    return text ? std::atoi(text) : otherwise;
+}
+
 } // namespace
 
 // Guards against the fault of review/9: watches whose responses were lost counted as proof that a
@@ -180,3 +222,23 @@
     play.change = Change::Evacuation;
     SilentStoreTest(20880).check(play);
 }
+
+TEST_CASE("CONFIG: a key withdrawn while responses to watches are late is refused in time")
+{
+    Play play;
+    play.calm = 3500ms;
+    play.watchDelay = 10s;
+    SilentStoreTest(20920).check(play);
+}
+
+TEST_CASE("CONFIG: changes are in force after random silences of the store")
+{
+    int first = environmentNumber("SILENCE_SEED", 1);
+    int runs = environmentNumber("SILENCE_RUNS", 1);
+    for (int seed = first; seed < first + runs; ++seed) {
+        Random random {static_cast<std::uint64_t>(seed)};
+        Play play = drawPlay(random);
+        INFO("SILENCE_SEED=" << seed);
+        SilentStoreTest(20960).check(play);
+    }
+}
