DRAIN: a new process asks its backend server before it sends work there

Cause: what the gate knew ended with its process, and the gate of a new process opened for any report. A report may have been sent at any time.

Change: a report of a start that this process does not know raises a question. TargetInquiry sends the service's health check to the target, readTargetAnswer reads what came back, and the gate opens when that start answers that it takes work (target_answer.h, TargetGate::question). The answer gives the cold time and the stated rate as well, which a restart had lost in the same way. 503 or no sound response: asked again after 100 ms, at most 1 s. No call of the store.

Tests changed with it: the gate's unit tests expected a first report to open the gate, which is the fault. They report through reportAndAnswer(), which answers a question as a target that is as it reported; their checks are unchanged. The endless target of the process tests answers questions for its health soundly and counts only requests of callers; the target of the soak answers its health, 503 while it leaves, and states nothing else.

--- a/include/ibiswell/core/dialect.h
+++ b/include/ibiswell/core/dialect.h
@@ -42,6 +42,9 @@
     std::string notExecuted; ///< Present in a response if the request certainly did not run.
     std::string admittedRate; ///< In a response: requests a second that the server takes at most.
     std::string leaving; ///< Present in a response if the backend server takes no new work.
+    std::string instance; ///< In a response to a health check: the instance that responds.
+    /** In a response to a health check: how much longer it stays cold, in milliseconds. */
+    std::string remainingWarmup;
     std::string execution; ///< Execution of a refused request, reported to the caller.
 };
 
--- a/include/ibiswell/decisions/target_gate.h
+++ b/include/ibiswell/decisions/target_gate.h
@@ -2,7 +2,9 @@
 
 #include "ibiswell/core/messages.h"
 #include "ibiswell/core/time.h"
+#include "ibiswell/decisions/target_answer.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -30,15 +32,25 @@
 };
 
 /** Effect of a report on the gate. */
-enum class ReportOutcome : std::uint8_t { Stale, OtherService, Refreshed, Opened, Closed };
+enum class ReportOutcome : std::uint8_t {
+    Stale,
+    OtherService,
+    Refreshed,
+    Unconfirmed, ///< The gate is closed until the backend server answers a question.
+    Opened,
+    Closed,
+};
 
 /**
  * Tracks whether the backend server beside this node takes new work, from its reports and from
  * failed connections.
  *
  * The gate starts closed: a restarted node has no state, and its backend server may be leaving. A
- * report opens it, unless that start of the backend server is leaving. Once a start has announced
- * that it is leaving, no later report of it opens the gate again; only another start does.
+ * report of a start that it does not know raises a question to the backend server, and the gate
+ * opens when that start answers that it takes work. Reports of a start that has answered open it
+ * directly. A report alone proves nothing to a new process: it may have been sent before a
+ * departure that a former process acknowledged. Once a start has announced that it is leaving, no
+ * later report of it opens the gate again; only another start does.
  *
  * Reports may arrive seconds late, so the gate has to know which start a report is of. Starts are
  * told apart by their id and the time of their start. The time of day orders them, but it may be
@@ -57,6 +69,10 @@
     }
 
     ReportOutcome onReport(TimePoint now, const TargetReport &report);
+    /** What to ask the backend server now; the gate is closed until it has answered. */
+    std::optional<TargetQuestion> question() const;
+    /** Handles the answer to @p question; without effect when it is not asked any more. */
+    void onAnswer(TimePoint now, const TargetQuestion &question, const TargetAnswer &answer);
     /**
      * Closes the gate because @p instance leaves; false when the gate is for another instance,
      * whose place the leaving one may still take by a report that is on its way.
@@ -82,7 +98,10 @@
     /** Why new work is refused now; empty when the gate is open. */
     std::optional<Refusal> refusal() const;
     bool isOpen() const { return m_state == State::Open; }
-    bool isCold(TimePoint now) const { return m_zoneReturnedAt || now < m_coldUntil; }
+    bool isCold(TimePoint now) const
+    {
+        return m_zoneReturnedAt || now < std::max(m_coldUntil, m_answeredColdUntil);
+    }
     const std::string &instance() const { return m_instance; }
     int slots() const { return m_slots; }
     /** Time of the backend server's start, as it reported; identifies the start. */
@@ -90,7 +109,7 @@
     std::optional<double> statedRate() const { return m_statedRate; }
 
 private:
-    enum class State : std::uint8_t { Unknown, Open, Leaving, Unreachable };
+    enum class State : std::uint8_t { Unknown, Unconfirmed, Open, Leaving, Unreachable };
 
     /** A departure of which no report has told the start. */
     struct Departure
@@ -117,6 +136,10 @@
     /** Whether to follow a start with an earlier time than the known one. */
     bool replacesKnownStart(TimePoint now, const TargetReport &report);
     ReportOutcome follow(TimePoint now, const TargetReport &report, bool departed);
+    void apply(TimePoint now, const TargetReady &answer);
+    void apply(TimePoint now, TargetLeaving answer);
+    void apply(TimePoint now, TargetAbsent answer);
+    void apply(TimePoint, TargetUndecided) { } // the question stays
 
     std::string m_service;
     State m_state = State::Unknown;
@@ -125,7 +148,10 @@
     std::uint64_t m_sequence = 0;
     std::optional<Departure> m_departure;
     std::optional<Contender> m_contender;
+    bool m_isConfirmed = false; ///< Whether the known start has answered that it takes work.
     TimePoint m_coldUntil;
+    /** As the known start answered; a report that is late does not shorten it. */
+    TimePoint m_answeredColdUntil;
     bool m_isZoneOut = false;
     std::optional<TimePoint> m_zoneReturnedAt; ///< Until a report from after the return arrives.
     int m_slots = 0;
--- a/src/decisions/target_gate.cpp
+++ b/src/decisions/target_gate.cpp
@@ -75,6 +75,8 @@
     else
         m_departure.reset();
     m_statedRate.reset();
+    m_isConfirmed = false;
+    m_answeredColdUntil = {};
     return follow(now, report, hasDeparted);
 }
 
@@ -91,12 +93,50 @@
     m_coldUntil = now + report.remainingWarmup;
     if (m_zoneReturnedAt && now - *m_zoneReturnedAt >= usualReportDelay)
         m_zoneReturnedAt.reset();
-    m_state = report.draining || departed ? State::Leaving : State::Open;
+    bool isLeaving = report.draining || departed;
+    if (before == State::Leaving)
+        m_isConfirmed = false; // another start, which was taken for the one that left
+    m_state = isLeaving ? State::Leaving : m_isConfirmed ? State::Open : State::Unconfirmed;
+    if (m_state == State::Unconfirmed)
+        return ReportOutcome::Unconfirmed;
     if (m_state == before)
         return ReportOutcome::Refreshed;
     return m_state == State::Open ? ReportOutcome::Opened : ReportOutcome::Closed;
 }
 
+std::optional<TargetQuestion> TargetGate::question() const
+{
+    if (m_state != State::Unconfirmed)
+        return std::nullopt;
+    return TargetQuestion {m_instance, m_startedAtMs};
+}
+
+void TargetGate::onAnswer(TimePoint now, const TargetQuestion &question, const TargetAnswer &answer)
+{
+    if (this->question() != question)
+        return;
+    std::visit([&](const auto &kind) { apply(now, kind); }, answer);
+}
+
+void TargetGate::apply(TimePoint now, const TargetReady &answer)
+{
+    m_state = State::Open;
+    m_isConfirmed = true;
+    m_statedRate = answer.requestsPerSecond;
+    m_answeredColdUntil = now + answer.remainingWarmup;
+}
+
+void TargetGate::apply(TimePoint, TargetLeaving)
+{
+    m_state = State::Leaving;
+    m_departure.reset();
+}
+
+void TargetGate::apply(TimePoint, TargetAbsent)
+{
+    m_state = State::Unreachable;
+}
+
 bool TargetGate::onDeparture(TimePoint now, const std::string &instance)
 {
     bool isStartKnown = instance == m_instance && m_startedAtMs != 0;
@@ -141,6 +181,9 @@
         return std::nullopt;
     case State::Unknown:
         return closed("the backend server has not reported yet");
+    case State::Unconfirmed:
+        return closed(
+            fmt::format("backend server {} has not answered yet that it takes work", m_instance));
     case State::Leaving:
         return closed(fmt::format("backend server {} is leaving", m_instance));
     case State::Unreachable:
--- a/src/transport/node.cpp
+++ b/src/transport/node.cpp
@@ -212,6 +212,7 @@
 
 void Node::Impl::addFront(const ExternalFront &external)
 {
+    kernel.add<TargetInquiry>("target-inquiry", kernel);
     kernel.add<TargetMonitor>("target-watch", kernel);
     external.addServices(kernel);
 }
@@ -240,6 +241,7 @@
     spawnLoop("follow-zones", [&sync] { return sync.followZones(); });
     spawnLoop("check-store", [&sync] { return sync.checkPeriodically(); });
     spawnLoop("target-gate", [&monitor] { return monitor.applyPeriodically(); });
+    spawnLoop("target-questions", [&monitor] { return monitor.confirmStarts(); });
 }
 
 /** Releases the node's leases, so that other nodes can take them over at once. */
--- a/src/transport/target_monitor.cpp
+++ b/src/transport/target_monitor.cpp
@@ -9,6 +9,7 @@
 using namespace std::chrono_literals;
 
 constexpr Duration applyInterval = 50ms;
+constexpr Duration longestWait = 1h; // for a question, which ends it
 
 std::string_view nameOf(ReportOutcome outcome)
 {
@@ -19,6 +20,8 @@
         return "other-service";
     case ReportOutcome::Refreshed:
         return "refreshed";
+    case ReportOutcome::Unconfirmed:
+        return "unconfirmed";
     case ReportOutcome::Opened:
         return "opened";
     case ReportOutcome::Closed:
@@ -35,8 +38,10 @@
     , m_admission(kernel.get<TargetAdmission>("admission"))
     , m_target(kernel.get<TargetService>("target"))
     , m_gate(kernel.get<TargetGate>("target-gate"))
+    , m_inquiry(kernel.get<TargetInquiry>("target-inquiry"))
     , m_gossip(kernel.get<Gossip>("gossip"))
     , m_log(kernel.get<Log>("log"))
+    , m_questionTimer(kernel.get<asio::io_context>("io"))
 {
 }
 
@@ -91,6 +96,8 @@
     m_admission.setColdStartRate(isPaced ? service->second.coldRequestsPerSecond : 0);
     m_admission.setSlots(m_gate.slots());
     m_admission.setStatedRate(m_gate.statedRate());
+    if (question() && question() != m_lastQuestion)
+        m_questionTimer.cancel();
     if (!takesWork())
         m_target.apply(m_admission.refuseWaiting(ErrorKind::TargetLeaving));
     if (m_node.stopping)
@@ -102,6 +109,41 @@
     m_gossip.announceTakesWork(takesWork());
 }
 
+std::optional<TargetQuestion> TargetMonitor::question() const
+{
+    return m_policy.isReady() ? m_gate.question() : std::nullopt;
+}
+
+Task<void> TargetMonitor::awaitQuestion(Duration limit)
+{
+    m_questionTimer.expires_after(limit);
+    co_await m_questionTimer.async_wait(asResult);
+    co_await throwIfCancelled();
+}
+
+Task<void> TargetMonitor::confirmStarts()
+{
+    int undecided = 0;
+    for (;;) {
+        std::optional<TargetQuestion> asked = question();
+        if (!asked) {
+            co_await awaitQuestion(longestWait);
+            continue;
+        }
+        undecided = asked == m_lastQuestion ? undecided + 1 : 1;
+        m_lastQuestion = asked;
+        auto asking = m_inquiry.ask(*asked);
+        TargetAnswer answer = co_await std::move(asking);
+        m_gate.onAnswer(steadyNow(), *asked, answer);
+        if (question() == asked) {
+            co_await awaitQuestion(targetQuestionRetryDelay(undecided));
+            continue;
+        }
+        m_lastQuestion.reset();
+        applyGate();
+    }
+}
+
 Task<void> TargetMonitor::applyPeriodically()
 {
     for (;;) {
--- a/src/transport/target_service.cpp
+++ b/src/transport/target_service.cpp
@@ -1,12 +1,10 @@
 #include "target_service.h"
 
+#include "ibiswell/core/decimal.h"
 #include "ibiswell/decisions/entry_admission.h"
 
 #include <fmt/format.h>
 
-#include <charconv>
-#include <cmath>
-
 namespace ibiswell {
 
 namespace {
@@ -56,16 +54,6 @@
     return options;
 }
 
-/** Reads a rate in requests a second; nothing when @p text is not a number from 0. */
-std::optional<double> readRate(std::string_view text)
-{
-    double rate = 0;
-    const char *end = text.data() + text.size();
-    auto [parsed, ec] = std::from_chars(text.data(), end, rate);
-    bool isRate = ec == std::errc {} && parsed == end && std::isfinite(rate) && rate >= 0;
-    return isRate ? std::optional(rate) : std::nullopt;
-}
-
 bool isCancelled(const CallResult &result)
 {
     const Refusal *refusal = std::get_if<Refusal>(&result);
@@ -326,7 +314,7 @@
 {
     TargetStatement statement;
     std::string_view stated = response.header(m_dialect.names.admittedRate);
-    statement.requestsPerSecond = readRate(stated);
+    statement.requestsPerSecond = readDecimal(stated);
     if (!stated.empty() && !statement.requestsPerSecond) {
         m_log.write(steadyNow(), LogLevel::Warning, "target-statement-unreadable",
                     {{"instance", m_gate->instance()},
--- a/tests/process/endless_test.cpp
+++ b/tests/process/endless_test.cpp
@@ -100,7 +100,10 @@
     }
 }
 
-/** A server that answers each request with the same endless message; a thread serves it. */
+/**
+ * A server that answers each request with the same endless message, and questions for its health
+ * soundly; a thread serves it.
+ */
 class EndlessServer
 {
 public:
@@ -117,7 +120,7 @@
     {
         asio::post(m_context.get(), [this, message = std::move(message)] { m_message = message; });
     }
-    int connections() const { return m_connections; }
+    int connections() const { return m_connections; } ///< That brought a caller's request.
 
 private:
     Task<void> accept()
@@ -126,7 +129,6 @@
             auto [error, socket] = co_await m_acceptor.async_accept(asResult);
             if (error)
                 co_return;
-            ++m_connections;
             asio::co_spawn(m_context.get(), serve(std::move(socket)), asio::detached);
         }
     }
@@ -134,8 +136,15 @@
     {
         std::array<char, 4096> request {};
         auto [error, count] = co_await socket.async_read_some(asio::buffer(request), asResult);
-        if (!error)
-            co_await sendEndlessly(socket, m_message);
+        if (error)
+            co_return;
+        if (std::string_view(request.data(), count).starts_with("GET /healthz ")) {
+            std::string sound = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+            co_await asio::async_write(socket, asio::buffer(sound), asResult);
+            co_return;
+        }
+        ++m_connections;
+        co_await sendEndlessly(socket, m_message);
     }
 
     BackgroundContext m_context;
--- a/tests/process/platform_deployment.h
+++ b/tests/process/platform_deployment.h
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -29,7 +30,8 @@
 {
     return fmt::format(
         R"({{"metadata": {{"name": "main"}}, "spec": {{"version": "{0:08x}",
-        "services": [{{"name": "shop", "cold-per-s": {1}}}, {{"name": "desk", "cold-per-s": {1}}}],
+        "services": [{{"name": "shop", "health-path": "/healthz", "cold-per-s": {1}}},
+                     {{"name": "desk", "health-path": "/healthz", "cold-per-s": {1}}}],
         "tenants": [{{"name": "club", "api-keys": [{2}], "rate-per-s": {3}, "burst": {3}}}],
         "virtual-hosts": [{{"host": "a.example", "paths": [
           {{"name": "browse", "path-prefix": "/x/", "kind": "safe", "timeout-s": 3,
@@ -84,13 +86,21 @@
     void addTarget(const std::string &service)
     {
         int node = addNode(service);
-        m_targets.push_back(std::make_unique<Process>(
-            programFolder() + "/target_standin",
-            std::vector<std::string> {"--port", std::to_string(targetPort(node)), "--node",
-                                      std::to_string(reportPort(node)), "--instance",
-                                      fmt::format("i-{}", node), "--service", service},
-            logPath(fmt::format("target-{}", node))));
+        startTarget(node, service, fmt::format("i-{}", node));
     }
+    /** Starts a target beside @p node, in place of the one that was there. */
+    void startTarget(int node, const std::string &service, const std::string &instance)
+    {
+        m_targets.erase(node);
+        m_targets.emplace(
+            node,
+            Process(programFolder() + "/target_standin",
+                    std::vector<std::string> {"--port", std::to_string(targetPort(node)), "--node",
+                                              std::to_string(reportPort(node)), "--instance",
+                                              instance, "--service", service},
+                    logPath(fmt::format("target-{}", node))));
+    }
+    void removeTarget(int node) { m_targets.erase(node); }
     /** Starts a node without a target; returns its number. */
     int addNode(const std::string &service, const std::string &zone = "a")
     {
@@ -219,7 +229,7 @@
     int m_reports = 0; ///< That reportTarget() sent.
     bool m_keepsLogs = false; ///< For a look at a run that failed.
     std::unique_ptr<Process> m_store;
-    std::vector<std::unique_ptr<Process>> m_targets;
+    std::map<int, Process> m_targets; ///< By node.
     std::vector<std::unique_ptr<Process>> m_nodes;
 };
 
--- a/tests/soak/soak_target.cpp
+++ b/tests/soak/soak_target.cpp
@@ -13,6 +13,7 @@
 
 using namespace std::chrono_literals;
 
+constexpr std::string_view healthPath = "/healthz"; // of makeConfig()
 constexpr int slots = 40;
 constexpr int queuedBeyondSlots = 10;
 constexpr Duration usualWork = 12ms;
@@ -53,6 +54,7 @@
     m_bornMs = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
     m_sequence = 0;
     m_draining = false;
+    m_isGoing = false;
     m_reports = true;
     m_leaving = nullptr;
     becomeCold(ColdCause::Start);
@@ -153,6 +155,11 @@
         co_await http::async_read(connection.socket, connection.buffer, request, asResult);
     if (readError || start != m_start)
         co_return false;
+    if (request.target() == healthPath) {
+        co_await awaitResume();
+        auto sending = send(connection, healthAnswer());
+        co_return start == m_start &&co_await std::move(sending);
+    }
     std::string id(request["Attempt-Id"]);
     bool isMeant = request["Expected-Instance"] == m_instance;
     if (isMeant)
@@ -201,6 +208,17 @@
     co_return co_await std::move(sending);
 }
 
+std::string SoakTarget::healthAnswer() const
+{
+    double warmup = std::max(0.0, inSeconds(m_coldUntil - steadyNow()));
+    bool isFull = m_running >= slots + queuedBeyondSlots;
+    int status = m_isGoing || isFull ? 503 : 200;
+    return fmt::format("HTTP/1.1 {} {}\r\nInstance-Id: {}\r\nWarmup-Ms: {:.0f}\r\n{}"
+                       "Content-Length: 0\r\n\r\n",
+                       status, statusText(status), m_instance, warmup * 1000,
+                       isFull ? "Not-Executed: 1\r\n" : "");
+}
+
 std::string SoakTarget::heartbeat()
 {
     double warmup = std::max(0.0, inSeconds(m_coldUntil - steadyNow()));
@@ -259,6 +277,7 @@
 {
     int start = m_start;
     m_draining = reportsDraining;
+    m_isGoing = true;
     m_reports = reportsDraining;
     bool acknowledged = false;
     for (int i = 0; i < maximumAcknowledgementTries && !acknowledged && start == m_start; ++i) {
--- a/tests/soak/soak_target.h
+++ b/tests/soak/soak_target.h
@@ -78,6 +78,7 @@
     /** Sends one heartbeat, as it is now, after @p delay. */
     Task<void> sendHeartbeat(Duration delay);
     /** Whether the node acknowledged it within a second. */
+    std::string healthAnswer() const;
     Task<bool> report(std::string call, std::string body);
     std::string heartbeat();
     std::string answerFor(const std::string &id, int status, std::string_view fields) const;
@@ -96,6 +97,7 @@
     std::int64_t m_bornMs = 0;
     std::uint64_t m_sequence = 0;
     bool m_draining = false;
+    bool m_isGoing = false; ///< Has begun to leave: its health is not good any more.
     bool m_reports = true;
     int m_running = 0;
     TimePoint m_coldUntil;
--- a/tests/standins/target_standin.cpp
+++ b/tests/standins/target_standin.cpp
@@ -3,12 +3,16 @@
  * to requests with a signature and their ids, and counts how often each ran.
  *
  * GET /ran?ID            how often the request with this id ran here
+ * GET /heartbeat         takes the next heartbeat, which the caller may deliver late
+ * GET /healthz           health: 200, or 503 while the target is draining or leaving
+ * GET /asked             how often the health was asked
  * POST /say {"state": "ready" | "draining", "report": false, "lose": N, "shed": N,
- *            "limit": N, "leaving": true, "work_ms": N}
+ *            "limit": N, "leaving": true, "work_ms": N, "warmup_ms": N, "silent_health": N}
  *                        sets the state in the heartbeats, whether to send heartbeats, how many of
  *                        the next requests to leave without a response and to reject, and the rate
- *                        (0: none) and the leaving that its responses state, and how long a
- *                        request takes
+ *                        (0: none) and the leaving that its responses state, how long a request
+ *                        takes, how long it stays cold, and how many of the next questions for its
+ *                        health to leave without a response
  */
 
 #include "http_client.h"
@@ -60,6 +64,12 @@
             co_return applyState(request.body);
         if (request.path.starts_with("/ran?"))
             co_return HttpResponse {200, {}, std::to_string(m_executions[request.path.substr(5)])};
+        if (request.path == "/heartbeat")
+            co_return HttpResponse {200, {}, json::serialize(makeHeartbeat())};
+        if (request.path == "/asked")
+            co_return HttpResponse {200, {}, std::to_string(m_healthQuestions)};
+        if (request.path == "/healthz")
+            co_return co_await health();
         std::string id {request.header("Attempt-Id")};
         if (request.header("Expected-Instance") != m_options.instance)
             co_return HttpResponse {
@@ -79,14 +89,44 @@
                            {"body", request.body}};
         HttpResponse response {
             200, {{"Attempt-Id", id}, {"Response-Signature", "sig-" + id}}, json::serialize(body)};
+        addStatements(response);
+        co_return response;
+    }
+
+private:
+    void addStatements(HttpResponse &response) const
+    {
         if (m_statedRate > 0)
             response.headers.push_back({"Server-Limit", fmt::format("{}.0", m_statedRate)});
         if (m_statesLeaving)
             response.headers.push_back({"Server-Leaving", "1"});
+    }
+
+    Task<HttpResponse> health()
+    {
+        ++m_healthQuestions;
+        if (m_silentHealthResponses > 0 && m_silentHealthResponses-- > 0)
+            co_await sleepFor(60s);
+        bool isHealthy = m_state == "ready" && !m_statesLeaving;
+        HttpResponse response {isHealthy ? 200 : 503, {{"Instance-Id", m_options.instance}}, {}};
+        if (m_remainingWarmup > Duration::zero())
+            response.headers.push_back(
+                {"Warmup-Ms", fmt::format("{:.0f}", inSeconds(m_remainingWarmup) * 1000)});
+        addStatements(response);
         co_return response;
     }
 
-private:
+    json::object makeHeartbeat()
+    {
+        return {{"address", fmt::format("127.0.0.1:{}", m_options.port)},
+                {"born", m_startedAtMs},
+                {"info", json::object {{"service", m_options.service}, {"slots", m_options.slots}}},
+                {"status",
+                 json::object {{"state", m_state},
+                               {"seq", ++m_sequence},
+                               {"warmup-left-s", inSeconds(m_remainingWarmup)}}}};
+    }
+
     HttpResponse applyState(const std::string &text)
     {
         Error error;
@@ -102,6 +142,8 @@
         reader.readInteger("limit", {0, 1000}, m_statedRate);
         reader.readBoolean("leaving", m_statesLeaving);
         reader.readMilliseconds("work_ms", {0, 60'000}, m_workTime);
+        reader.readMilliseconds("warmup_ms", {0, 60'000}, m_remainingWarmup);
+        reader.readInteger("silent_health", {0, 1000}, m_silentHealthResponses);
         return {errors.isEmpty() ? 200 : 400, {}, errors.text()};
     }
 
@@ -109,16 +151,10 @@
     {
         for (;;) {
             if (m_sendsHeartbeats) {
-                json::object heartbeat {
-                    {"address", fmt::format("127.0.0.1:{}", m_options.port)},
-                    {"born", m_startedAtMs},
-                    {"info",
-                     json::object {{"service", m_options.service}, {"slots", m_options.slots}}},
-                    {"status", json::object {{"state", m_state}, {"seq", ++m_sequence}}}};
                 HttpRequest request {"POST",
                                      fmt::format("/api/instances/{}/heartbeat", m_options.instance),
                                      {{"content-type", "application/json"}},
-                                     json::serialize(heartbeat)};
+                                     json::serialize(makeHeartbeat())};
                 CallResult result = co_await m_node.exchange(std::move(request), heartbeatTimeout);
                 static_cast<void>(result); // the next heartbeat is sent in any case
             }
@@ -137,6 +173,9 @@
     int m_statedRate = 0; ///< Requests a second; 0: the responses state none.
     bool m_statesLeaving = false;
     Duration m_workTime = 5ms;
+    Duration m_remainingWarmup {}; ///< As stated; it does not count down.
+    int m_healthQuestions = 0;
+    int m_silentHealthResponses = 0;
     std::map<std::string, int> m_executions;
 };
 
--- a/tests/stated_rate_limit_test.cpp
+++ b/tests/stated_rate_limit_test.cpp
@@ -1,3 +1,5 @@
+#include "answering_target.h"
+
 #include "ibiswell/core/random.h"
 #include "ibiswell/decisions/stated_rate_limit.h"
 #include "ibiswell/decisions/target_admission.h"
@@ -9,6 +11,7 @@
 #include <vector>
 
 using namespace ibiswell;
+using namespace ibiswell::test;
 using namespace std::chrono_literals;
 
 namespace {
@@ -115,10 +118,10 @@
 TEST_CASE("a stated rate holds until the next statement or start of the backend server")
 {
     TargetGate gate("ledger");
-    gate.onReport(TimePoint {1s}, makeReport(1000, 1));
+    reportAndAnswer(gate, TimePoint {1s}, makeReport(1000, 1));
     gate.onStatement({55.3, false});
     CHECK(gate.statedRate() == 55.3);
-    gate.onReport(TimePoint {2s}, makeReport(1000, 2));
+    reportAndAnswer(gate, TimePoint {2s}, makeReport(1000, 2));
     CHECK(gate.statedRate() == 55.3);
     CHECK(gate.isOpen());
     SUBCASE("a response without a rate ends it")
@@ -128,7 +131,7 @@
     }
     SUBCASE("a new start ends it, even with the same id")
     {
-        gate.onReport(TimePoint {3s}, makeReport(2000, 1));
+        reportAndAnswer(gate, TimePoint {3s}, makeReport(2000, 1));
         CHECK_FALSE(gate.statedRate());
     }
 }
@@ -136,12 +139,12 @@
 TEST_CASE("a response that states that its server leaves closes the gate for that start")
 {
     TargetGate gate("ledger");
-    gate.onReport(TimePoint {1s}, makeReport(1000, 1));
+    reportAndAnswer(gate, TimePoint {1s}, makeReport(1000, 1));
     gate.onStatement({std::nullopt, true});
     CHECK_FALSE(gate.isOpen());
     gate.onStatement({});
-    gate.onReport(TimePoint {2s}, makeReport(1000, 2));
+    reportAndAnswer(gate, TimePoint {2s}, makeReport(1000, 2));
     CHECK_FALSE(gate.isOpen());
-    gate.onReport(TimePoint {3s}, makeReport(2000, 1));
+    reportAndAnswer(gate, TimePoint {3s}, makeReport(2000, 1));
     CHECK(gate.isOpen());
 }
--- a/tests/target_service_test.cpp
+++ b/tests/target_service_test.cpp
@@ -1,5 +1,6 @@
 #include "target_service.h"
 
+#include "answering_target.h"
 #include "dialect.h"
 
 #include "ibiswell/decisions/call_table.h"
@@ -13,6 +14,7 @@
 #include <vector>
 
 using namespace ibiswell;
+using namespace ibiswell::test;
 using namespace std::chrono_literals;
 
 namespace {
@@ -151,7 +153,7 @@
         report.service = "ledger";
         report.sequence = 1;
         report.slots = 1;
-        gate.onReport(steadyNow(), report);
+        reportAndAnswer(gate, steadyNow(), report);
         kernel.add<TargetService>("target", kernel, context);
     }
 
