Two process tests bring their request to the target they mean

Cause: two tests of KNOWN-RED.txt waited for the router to choose the other target, or counted on it.

Change: the tests let targets take 40 to 300 ms, so that each node's router goes where the test needs it, and then check as before: exactly one request reaches the target that leaves, and the planned stop serves what arrives. The second one is not allowed to fail any more.

--- a/tests/process/platform_test.cpp
+++ b/tests/process/platform_test.cpp
@@ -185,10 +185,13 @@
 {
     PlatformDeployment platform(19500);
     startDefaultTargets(platform);
-    // Its own target takes nothing once the node stops, so it must know the other one.
+    // Its own target takes nothing once the node stops, so it must know the other one. The router
+    // goes to the other one once its own is the slower one.
+    platform.controlTarget(0, R"({"work_ms": 100})");
     REQUIRE(eventually([&] {
         return platform.sendRequest(0, "GET", "/x/1", "other").contains(R"("instance":"i-1")");
     }));
+    platform.controlTarget(0, R"({"work_ms": 0})");
     platform.node(0).signal(SIGTERM);
     CHECK(eventually([&] { return !platform.isReady(0); }));
     Reply reply = platform.sendRequest(0, "GET", "/x/1", "while-stopping");
@@ -400,12 +403,25 @@
     CHECK(countInWindow("not-limited-again") > maximumInWindow);
 }
 
-// Listed in KNOWN-RED.txt.
-TEST_CASE("platform: a target whose response states that it leaves gets no further request"
-          * doctest::may_fail())
+TEST_CASE("platform: a target whose response states that it leaves gets no further request")
 {
     PlatformDeployment platform(19900);
     startDefaultTargets(platform);
+    // Each node has found the other target of the service to be the slower one, so that its next
+    // request goes to the one that leaves.
+    auto reaches = [&](int node, const std::string &instance) {
+        return eventually([&] {
+            std::string body = platform.sendRequest(node, "GET", "/x/1", "before").body;
+            return body.find(instance) != std::string::npos;
+        });
+    };
+    platform.controlTarget(0, R"({"work_ms": 40})");
+    for (int node = 0; node < 3; ++node)
+        REQUIRE(reaches(node, R"("instance":"i-1")"));
+    platform.controlTarget(0, R"({"work_ms": 0})");
+    platform.controlTarget(1, R"({"work_ms": 300})");
+    for (int node = 0; node < 3; ++node)
+        REQUIRE(reaches(node, R"("instance":"i-0")"));
     platform.controlTarget(0, R"({"leaving": true})");
     auto servedBy = [&](int i) {
         return platform.sendRequest(i % 3, "GET", "/x/1", fmt::format("leaving-{}", i)).body;
