--- a/tests/standins/serve_standin.h
+++ b/tests/standins/serve_standin.h
@@ -42,9 +42,9 @@
 
 /** Serves HTTP on one port; see above. */
 inline int serveStandin(asio::io_context &context, std::uint16_t port,
-                        std::function<Task<HttpResponse>(HttpRequest request)> handler)
+                        const std::function<Task<HttpResponse>(HttpRequest request)> &handler)
 {
-    return serveStandin(context, port, 1, [handler](std::size_t, HttpRequest request) {
+    return serveStandin(context, port, 1, [&handler](std::size_t, HttpRequest request) {
         return handler(std::move(request));
     });
 }
--- a/tests/store_confirmation_test.cpp
+++ b/tests/store_confirmation_test.cpp
@@ -158,6 +158,7 @@
 {
     std::vector<Member> members = makeMembers(3, 5);
     std::vector<const Member *> active;
+    active.reserve(members.size());
     for (const Member &member : members)
         active.push_back(&member);
     std::set<std::size_t> ranks;
