Nodes that see the fleet look at its list less often

Change: a node looks each 12 to 30 s, by the members that it sees (node_discovery.h). One look by any node joins the parts of a fleet, so a part of nine nodes or more still looks every 1.4 s together; a node that is alone, or in a small part, looks each 12 s as before, also when it becomes so while it waits.

By the counts: 0.7, 2.1 and 6.5 looks a second at 18, 63 and 195 nodes, in place of 1.5, 5.3 and 16.3.

--- a/src/transport/store_sync.cpp
+++ b/src/transport/store_sync.cpp
@@ -1,5 +1,6 @@
 #include "store_sync.h"
 
+#include "ibiswell/decisions/node_discovery.h"
 #include "ibiswell/decisions/store_check.h"
 #include "ibiswell/policy/object_reader.h"
 
@@ -31,8 +32,8 @@
 constexpr Duration settlingTime = 1500ms;
 /** Nodes that start together list only those that registered earlier; a second listing has all. */
 constexpr Duration secondDiscoveryDelay = 1s;
-/** Groups of nodes that a network partition separated find each other through the list. */
-constexpr Duration discoveryInterval = 12s;
+/** The interval of looks follows the members in sight, which may become few meanwhile. */
+constexpr Duration discoveryCheckInterval = 1s;
 /** Of a listing that may be stale; it may lack an object that was written since. */
 constexpr Duration maximumStaleness = 5s;
 /** All nodes together, when they write their objects again: the store's other writers do so too. */
@@ -430,7 +431,18 @@
 
 Task<void> StoreSync::awaitNextDiscovery()
 {
-    co_await withTimeout(waitForEraAfter(m_era.latest()), discoveryInterval);
+    TimePoint begin = steadyNow();
+    auto isDue = [&] {
+        return steadyNow() - begin >= nodeDiscoveryInterval(m_membership.activeMembers().size());
+    };
+    std::uint64_t era = m_era.latest();
+    while (!isDue()) {
+        auto waiting = waitForEraAfter(era);
+        bool isNewEra =
+            (co_await withTimeout(std::move(waiting), discoveryCheckInterval)).value_or(false);
+        if (isNewEra)
+            break;
+    }
     if (isRegistered())
         co_return;
     double spread = static_cast<double>(m_membership.size()) / registrationsPerSecond;
