NodeDiscovery: registering and finding nodes apart from following the store

Change: a service of its own, "node-discovery", holds the registration and the looks at the list. It tells StoreSync how its calls ended, and waits for a later era there.

--- a/src/transport/node.cpp
+++ b/src/transport/node.cpp
@@ -6,6 +6,7 @@
 #include "key_service.h"
 #include "lease_service.h"
 #include "loop_monitor.h"
+#include "node_discovery.h"
 #include "object_store_client.h"
 #include "peer_server.h"
 #include "platform_sync.h"
@@ -202,6 +203,7 @@
                                   kernel.get<StoreEra>("store-era"), kernel.get<Log>("log"),
                                   kernel.get<Metrics>("metrics"));
     kernel.add<StoreSync>("store-sync", kernel, context);
+    kernel.add<NodeDiscovery>("node-discovery", kernel);
     kernel.add<RateService>("rates", kernel, context, RankedShares {});
 }
 
@@ -235,8 +237,9 @@
 void Node::Impl::startTasks(const ExternalFront &)
 {
     StoreSync &sync = kernel.get<StoreSync>("store-sync");
+    NodeDiscovery &discovery = kernel.get<NodeDiscovery>("node-discovery");
     TargetMonitor &monitor = kernel.get<TargetMonitor>("target-watch");
-    spawnLoop("discover-nodes", [&sync] { return sync.discoverNodes(); });
+    spawnLoop("discover-nodes", [&discovery] { return discovery.discoverNodes(); });
     spawnLoop("follow-policy", [&sync] { return sync.followPolicy(); });
     spawnLoop("follow-zones", [&sync] { return sync.followZones(); });
     spawnLoop("check-store", [&sync] { return sync.checkPeriodically(); });
@@ -254,7 +257,7 @@
 /** Removes this node from the store, so that nodes that start do not try to join through it. */
 Task<void> Node::Impl::leaveFleet(ExternalFront)
 {
-    auto deregistering = kernel.get<StoreSync>("store-sync").deregister();
+    auto deregistering = kernel.get<NodeDiscovery>("node-discovery").deregister();
     co_await withTimeout(std::move(deregistering), deregisterTimeout);
 }
 
--- a/src/transport/store_sync.h
+++ b/src/transport/store_sync.h
@@ -19,8 +19,7 @@
 namespace ibiswell {
 
 /**
- * Synchronises a node with an object store: the policy, the zones out of service, and the nodes
- * that registered there.
+ * Synchronises a node with an object store: the policy and the zones out of service.
  */
 class StoreSync
 {
@@ -40,13 +39,11 @@
      * (see store_check.h); runs until the node stops.
      */
     Task<void> checkPeriodically();
-    /**
-     * Registers this node, again where the store has lost its object, and periodically joins listed
-     * nodes; runs until the node stops.
+    /** Tells whether a call other than a watch got a response tells how far watches can be trusted.
      */
-    Task<void> discoverNodes();
-    /** Removes this node's object from the store, for a planned stop. */
-    Task<bool> deregister();
+    void onCallEnded(bool isAnswered);
+    /** Waits until a later era of the store than @p era is known; false when cancelled before. */
+    Task<bool> waitForEraAfter(std::uint64_t era);
 
     /** What this node knows of the store, for the metrics. */
     std::map<std::string, double> gauges(TimePoint now) const;
@@ -89,7 +86,6 @@
     Task<StoreReply> watch(Followed &followed, StorePosition after);
     /** Waits until the watch from @p after is to be given up. */
     Task<bool> waitForDistrust(Followed &followed, StorePosition after);
-    Task<bool> waitForEraAfter(std::uint64_t era);
     /**
      * Applies a reply to a request that was sent at @p sentAt; returns false when the next call is
      * a listing, after a while.
@@ -113,18 +109,10 @@
     void applyCheck(Followed &followed, const StoreListing &listing, TimePoint sentAt);
     /** Another node knows of a change of @p topic that this one has not read. */
     void onChangeElsewhere(StoreTopic topic);
-    /** Whether a call other than a watch got a response tells how far watches can be trusted. */
-    void onCallEnded(bool isAnswered);
     /** Has the watch of @p followed given up when its trust ends. */
     void applyTrust(Followed &followed);
     Followed &followed(StoreTopic topic) { return m_followed[static_cast<std::size_t>(topic)]; }
 
-    Task<void> registerSelf();
-    bool isRegistered() const;
-    Task<void> joinNode(Endpoint endpoint);
-    Task<bool> joinListedNodes(Freshness freshness);
-    /** Waits for the next look at the registered nodes; sooner when the store has come back. */
-    Task<void> awaitNextDiscovery();
     bool applyPolicy(const StoreRead &read);
     bool applyZones(const StoreRead &read);
 
@@ -144,9 +132,6 @@
     std::uint64_t m_checks = 0; ///< Requests to the store.
     std::uint64_t m_watchesGivenUp = 0;
     asio::steady_timer m_eraChanged; ///< Never expires; cancelled when a newer era is known.
-    /** The era in which the store is known to hold this node's object. */
-    std::optional<std::uint64_t> m_registeredEra;
-    TimePoint m_registeredAt;
     std::uint64_t m_listings = 0; ///< Of what is followed.
     TimePoint m_startedAt = steadyNow();
 };
