Three comments that say what they mean, and an unused variable

Cause: reading the whole change once more. A comment of StoreSync was garbled when a function became public, one of Gossip was wrapped badly, and one of TargetInquiry said the opposite of what holds; a variable that nothing reads had moved along with endpointFrom().

Change: comments and that line only; no behaviour.

--- a/src/transport/gossip.h
+++ b/src/transport/gossip.h
@@ -51,8 +51,9 @@
     void sendTo(const Endpoint &member, GossipBody body);
     /** Adopts zones out of service that were read from the store or from another node. */
     ZonesUpdate adoptZones(const ZonesOut &zones);
-    /** Tells @p watchers and a few members at once how recently this node knew what the store
-     * holds. */
+    /**
+     * Tells @p watchers and a few members at once how recently this node knew what the store holds.
+     */
     void spreadStoreKnowledge(const std::vector<Endpoint> &watchers);
     /** Notifies others of the policy, after a newer one was adopted. */
     void onPolicyAdopted();
--- a/src/transport/node_discovery.cpp
+++ b/src/transport/node_discovery.cpp
@@ -38,7 +38,6 @@
 {
     ErrorList errors;
     Endpoint endpoint;
-    std::string ignored;
     int port = 0;
     ObjectReader reader(object.value, object.name, errors);
     reader.readRequiredText("address", endpoint.address);
--- a/src/transport/store_sync.h
+++ b/src/transport/store_sync.h
@@ -39,7 +39,9 @@
      * (see store_check.h); runs until the node stops.
      */
     Task<void> checkPeriodically();
-    /** Tells whether a call other than a watch got a response tells how far watches can be trusted.
+    /**
+     * A call of the store other than a watch has ended, with a response or without: this shows how
+     * far the waiting watches can be trusted.
      */
     void onCallEnded(bool isAnswered);
     /** Waits until a later era of the store than @p era is known; false when cancelled before. */
--- a/src/transport/target_inquiry.h
+++ b/src/transport/target_inquiry.h
@@ -21,8 +21,8 @@
 
     /**
      * Asks once and waits a second at most for the response. The policy must be known: it names the
-     * path of the health check. The connection is new and closed afterwards, so that it takes none
-     * of those that the backend server accepts.
+     * path of the health check. The connection is new and closed afterwards, so that it does
+     * not count towards those that the backend server accepts while it waits for calls.
      */
     Task<TargetAnswer> ask(TargetQuestion question);
 
